Carry up to kind_batch messages in one call to an endpoint

config.go set the batch of every kind to 1, since the endpoint code knew only /v1/messages. A telco counts calls in a span, and the policy counts calls and slots by batches, so clumps drained at a fifth of the rate and queues were refused or late.

What one step sends to one endpoint now travels as one call, held until all of its clients have heard, within the 64 KiB of a body. The answer gives each message its own outcome; what it does not tell may have run. Giving up one message leaves the call of the others standing.

TestBatchIsOneCall fails without the change in config.go: 7 calls for 7 messages.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -117,9 +117,6 @@
 	// On sockets a connection carries one call at a time, whatever the
 	// simulator's connections carry.
 	c.Policy.Streams = 1
-	for i := range c.Policy.Kinds {
-		c.Policy.Kinds[i].Batch = 1 // and a call carries one message
-	}
 	var names struct {
 		Localities []string `json:"localities"`
 	}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -3,11 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -18,6 +22,8 @@
 
 const (
 	callPath    = "/v1/messages"
+	batchPath   = "/v1/messages:batch"
+	bodyFrame   = 64 // bytes of a batch's body round each message: quotes, names, commas
 	probePath   = "/health/live"
 	answerMost  = 1 << 20         // bytes of an answer that are read
 	probeWait   = 2 * time.Second // a probe that takes longer has failed
@@ -32,6 +38,7 @@
 	num      decide.Endpoint
 	cell     int
 	zone     int
+	batch    int // messages that one call there may carry
 	hostPort string
 	gone     bool // drained or removed: nothing new goes there
 	goneAt   decide.Time
@@ -86,15 +93,22 @@
 	errDrained   = errors.New("endpoint drained")
 )
 
-// call is one call out.
-type call struct {
+// part is one message's share in a call.
+type part struct {
 	m       *message
-	ep      *endpoint
 	attempt int
-	stage   atomic.Int32
-	broken  atomic.Bool // the connection broke before the last byte was written
-	ctx     context.Context
-	stop    context.CancelCauseFunc
+	dropped bool // the policy waits for it no longer
+}
+
+// call is one call out, with the messages that travel in it. They share its
+// connection, its slot and, but for an answer that tells them apart, its fate.
+type call struct {
+	parts  []part
+	ep     *endpoint
+	stage  atomic.Int32
+	broken atomic.Bool // the connection broke before the last byte was written
+	ctx    context.Context
+	stop   context.CancelCauseFunc
 }
 
 // outcome is what became of a call or a probe.
@@ -107,6 +121,21 @@
 	load    decide.Load
 	status  int
 	err     error
+	unsaved bool // the attempt could not be logged, so it was not made
+}
+
+// drop gives up the wait for one message. The call itself goes on for as long
+// as another message waits for it: closing its connection would end them all.
+func (c *call) drop(m *message) {
+	waiting := false
+	for i := range c.parts {
+		p := &c.parts[i]
+		p.dropped = p.dropped || p.m == m
+		waiting = waiting || !p.dropped
+	}
+	if !waiting {
+		c.stop(errCancelled)
+	}
 }
 
 // drained stops the call if its first byte is not written yet.
@@ -123,17 +152,46 @@
 
 func (payload) Close() error { return nil }
 
-// newCallRequest makes the request of a call. Its GetBody stays nil.
-func newCallRequest(ctx context.Context, hostPort, id, key string, body []byte, timeout time.Duration) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hostPort+callPath, nil)
+// batchItem is one message in the body of a batch call.
+type batchItem struct {
+	ID   string `json:"id"`
+	Key  string `json:"key,omitempty"`
+	Body []byte `json:"body"` // in Base64 on the wire
+}
+
+// framed is at least what a message takes up in the body of a batch call.
+func framed(rec *record) int {
+	return base64.StdEncoding.EncodedLen(len(rec.body)) + 2*(len(rec.ID)+len(rec.Key)) + bodyFrame
+}
+
+// newCallRequest makes the request of a call that carries these messages. Its
+// GetBody stays nil.
+func newCallRequest(ctx context.Context, hostPort string, recs []*record, timeout time.Duration) (*http.Request, error) {
+	path, body := callPath, recs[0].body
+	if len(recs) > 1 {
+		items := make([]batchItem, 0, len(recs))
+		for _, rec := range recs {
+			items = append(items, batchItem{rec.ID, rec.Key, append([]byte{}, rec.body...)}) // never null
+		}
+		text, err := json.Marshal(items)
+		if err != nil {
+			return nil, fmt.Errorf("batch: %w", err)
+		}
+		path, body = batchPath, text
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hostPort+path, nil)
 	if err != nil {
 		return nil, err
 	}
 	req.Body = payload{bytes.NewReader(body)} // also when empty: a missing body may be replayed
 	req.ContentLength = int64(len(body))
-	req.Header.Set("X-Request-ID", id)
-	if key != "" {
-		req.Header.Set("Idempotency-Key", key)
+	if len(recs) > 1 {
+		req.Header.Set("Content-Type", "application/json")
+	} else {
+		req.Header.Set("X-Request-ID", recs[0].ID)
+		if recs[0].Key != "" {
+			req.Header.Set("Idempotency-Key", recs[0].Key)
+		}
 	}
 	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(timeout.Milliseconds(), 1), 10))
 	req.Header["User-Agent"] = nil
@@ -141,8 +199,9 @@
 }
 
 // run makes the call and returns when its connection carries nothing of it any
-// more: after the whole answer, or with the connection closed.
-func (c *call) run(conns *http.Transport, hostPort string, rec *record, limit time.Duration, loads []string) outcome {
+// more: after the whole answer, or with the connection closed. There is one
+// outcome for each record, in their order.
+func (c *call) run(conns *http.Transport, hostPort string, recs []*record, limit time.Duration, loads []string) []outcome {
 	began := time.Now()
 	ctx, cancel := context.WithTimeoutCause(c.ctx, limit, context.DeadlineExceeded)
 	defer cancel()
@@ -160,21 +219,64 @@
 			c.stage.CompareAndSwap(callSending, callWritten)
 		},
 	})
-	req, err := newCallRequest(ctx, hostPort, rec.ID, rec.Key, rec.body, limit)
+	all := func(o outcome) []outcome { return slices.Repeat([]outcome{o}, len(recs)) }
+	req, err := newCallRequest(ctx, hostPort, recs, limit)
 	if err != nil {
-		return outcome{what: decide.NotSent, err: err}
+		return all(outcome{what: decide.NotSent, err: err})
 	}
 	resp, err := conns.RoundTrip(req)
 	o := outcome{took: time.Since(began).Microseconds()}
 	if err != nil {
 		o.what, o.err = c.failure(ctx, err), err
-		return o
+		return all(o)
 	}
 	defer resp.Body.Close()
 	o.status = resp.StatusCode
 	readAnswer(resp, &o, loads)
+	if len(recs) > 1 && o.status == http.StatusOK {
+		return c.readBatch(ctx, resp, o, recs)
+	}
 	io.Copy(io.Discard, io.LimitReader(resp.Body, answerMost)) // read to the end, it can carry the next call
-	return o
+	return all(o)
+}
+
+// readBatch tells the messages of a batch apart by the body of its answer.
+// What that does not tell, or what cannot be read, may have run.
+func (c *call) readBatch(ctx context.Context, resp *http.Response, whole outcome, recs []*record) []outcome {
+	whole.what, whole.settled = decide.Errored, false
+	out := slices.Repeat([]outcome{whole}, len(recs))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+	var items []struct {
+		ID    string `json:"id"`
+		State string `json:"state"`
+	}
+	if err == nil {
+		err = json.Unmarshal(text, &items)
+	} else {
+		whole.what = c.failure(ctx, err)
+	}
+	states := map[string]string{}
+	for _, x := range items {
+		states[x.ID] = x.State
+	}
+	for i, rec := range recs {
+		o := &out[i]
+		if err != nil {
+			o.what, o.err = whole.what, fmt.Errorf("answer to a batch: %w", err)
+			continue
+		}
+		switch states[rec.ID] {
+		case "accepted":
+			o.what, o.settled = decide.Delivered, true
+		case "deferred":
+			o.what = decide.Full
+		case "expired":
+			o.what, o.settled = decide.NotSent, true
+		case "no_more":
+			o.what = decide.NotSent
+		}
+	}
+	return out
 }
 
 // failure maps a call without an answer. What never ran is claimed only where
@@ -200,11 +302,12 @@
 // readAnswer maps an answer to an outcome.
 func readAnswer(resp *http.Response, o *outcome, loads []string) {
 	o.load = readLoad(resp.Header.Get("X-Server-Load"), loads)
+	o.wait = retryAfter(resp.Header.Get("Retry-After"))
 	switch resp.StatusCode {
 	case http.StatusOK:
 		o.what, o.settled = decide.Delivered, true
 	case http.StatusTooManyRequests:
-		o.what, o.wait = decide.Full, retryAfter(resp.Header.Get("Retry-After"))
+		o.what = decide.Full
 	case http.StatusServiceUnavailable:
 		if o.what = decide.Full; resp.Header.Get("Slots-Taken") == "1" {
 			o.what, o.slots = decide.NotSent, true
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,7 +29,12 @@
 
 func newTestCall() *call {
 	ctx, stop := context.WithCancelCause(context.Background())
-	return &call{m: &message{}, ctx: ctx, stop: stop}
+	return &call{parts: []part{{m: &message{}}}, ctx: ctx, stop: stop}
+}
+
+// runOne makes a call that carries one message.
+func runOne(c *call, conns *http.Transport, addr string, rec *record, limit time.Duration) outcome {
+	return c.run(conns, addr, []*record{rec}, limit, nil)[0]
 }
 
 const testLimit = 20 * time.Second
@@ -94,7 +102,7 @@
 		t.Run(name, func(t *testing.T) {
 			conns := newConns(&testSet(t).Policy, 2)
 			defer conns.CloseIdleConnections()
-			o := newTestCall().run(conns, rawEndpoint(t, x.serve), &record{ID: "m", Key: "k", body: []byte("b")}, testLimit, nil)
+			o := runOne(newTestCall(), conns, rawEndpoint(t, x.serve), &record{ID: "m", Key: "k", body: []byte("b")}, testLimit)
 			if o.what != x.what || o.wait != x.wait || o.slots != x.slots || o.settled != x.settled {
 				t.Errorf("got %+v", o)
 			}
@@ -102,6 +110,69 @@
 	}
 }
 
+// Guards the batch call: its form, and that each message gets the outcome that
+// the answer names for it. What the answer does not tell may have run.
+func TestBatchOutcomes(t *testing.T) {
+	const ok = `[{"id":"b","state":"fault"},{"id":"a","state":"accepted"},{"id":"c","state":"deferred"},{"id":"d","state":"expired"},{"id":"e","state":"no_more"}]`
+	body := func(head, text string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", head, len(text), text)
+	}
+	same := func(o decide.Outcome) []decide.Outcome { return slices.Repeat([]decide.Outcome{o}, 6) }
+	for name, x := range map[string]struct {
+		answer string
+		what   []decide.Outcome
+		wait   decide.Time
+	}{
+		"told apart": {answer: body("200 OK\r\nRetry-After: 0.5", ok), wait: 500000, what: []decide.Outcome{decide.Delivered,
+			decide.Errored, decide.Full, decide.NotSent, decide.NotSent, decide.Errored}},
+		"turned away":    {answer: body("429 W\r\nRetry-After: 2", ""), wait: 2000000, what: same(decide.Full)},
+		"full":           {answer: body("503 F", ""), what: same(decide.Full)},
+		"error":          {answer: body("500 E", ""), what: same(decide.Errored)},
+		"cannot be read": {answer: body("200 OK", `[{"id":"a","state":"acc`), what: same(decide.Errored)},
+		"cut":            {answer: "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + ok, what: same(decide.Reset)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := make(chan string, 1)
+			addr := rawEndpoint(t, func(c net.Conn) {
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				text, _ := io.ReadAll(req.Body)
+				got <- req.URL.Path + " " + string(text)
+				io.WriteString(c, x.answer)
+			})
+			conns := newConns(&testSet(t).Policy, 2)
+			defer conns.CloseIdleConnections()
+			recs := []*record{{ID: "a", Key: "k", body: []byte("hello")}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}, {ID: "f"}}
+			out := newTestCall().run(conns, addr, recs, testLimit, nil)
+			for i, o := range out {
+				settled := x.what[i] == decide.Delivered || name == "told apart" && recs[i].ID == "d"
+				if o.what != x.what[i] || o.settled != settled || o.wait != x.wait {
+					t.Errorf("%s: got %+v, want %v", recs[i].ID, o, x.what[i])
+				}
+			}
+			if s := <-got; !strings.HasPrefix(s, batchPath+` [{"id":"a","key":"k","body":"aGVsbG8="},{"id":"b","body":""},`) {
+				t.Errorf("the call was %s", s)
+			}
+		})
+	}
+}
+
+// Guards the slot and the connection of a batch: one message that is given up
+// does not end the call of the others; the last one does.
+func TestDropFromBatch(t *testing.T) {
+	a, b := &message{}, &message{}
+	c := newTestCall()
+	c.parts = []part{{m: a}, {m: b}}
+	if c.drop(a); c.ctx.Err() != nil {
+		t.Error("one message given up ended the call of another")
+	}
+	if c.drop(b); context.Cause(c.ctx) != errCancelled {
+		t.Errorf("nobody waits, and the call goes on: %v", context.Cause(c.ctx))
+	}
+}
+
 // Guards the difference between what never ran and what may have: a refused
 // connection never ran, silence after the last byte may have.
 func TestOutcomesWithoutAnswer(t *testing.T) {
@@ -112,7 +183,7 @@
 	}
 	refused := ln.Addr().String()
 	ln.Close()
-	if o := newTestCall().run(conns, refused, &record{ID: "m"}, testLimit, nil); o.what != decide.NoConnect {
+	if o := runOne(newTestCall(), conns, refused, &record{ID: "m"}, testLimit); o.what != decide.NoConnect {
 		t.Errorf("refused: %+v", o)
 	}
 	gone := make(chan struct{}, 2)
@@ -124,14 +195,14 @@
 		in.ReadByte() // until the caller closes
 		gone <- struct{}{}
 	})
-	if o := newTestCall().run(conns, silent, &record{ID: "m"}, 50*time.Millisecond, nil); o.what != decide.TimedOut {
+	if o := runOne(newTestCall(), conns, silent, &record{ID: "m"}, 50*time.Millisecond); o.what != decide.TimedOut {
 		t.Errorf("silent: %+v", o)
 	}
 	<-entered
 	<-gone // giving up closes the connection
 	c := newTestCall()
 	go func() { <-entered; c.stop(errCancelled) }()
-	if o := c.run(conns, silent, &record{ID: "m"}, testLimit, nil); o.what != decide.Cancelled {
+	if o := runOne(c, conns, silent, &record{ID: "m"}, testLimit); o.what != decide.Cancelled {
 		t.Errorf("cancelled: %+v", o)
 	}
 	<-gone
@@ -156,10 +227,10 @@
 			conns := newConns(&testSet(t).Policy, 2)
 			defer conns.CloseIdleConnections()
 			rec := &record{ID: "m", Key: "k", body: body}
-			if o := newTestCall().run(conns, addr, rec, testLimit, nil); o.what != decide.Delivered {
+			if o := runOne(newTestCall(), conns, addr, rec, testLimit); o.what != decide.Delivered {
 				t.Fatalf("first: %+v", o)
 			}
-			if o := newTestCall().run(conns, addr, rec, testLimit, nil); o.what != decide.Reset {
+			if o := runOne(newTestCall(), conns, addr, rec, testLimit); o.what != decide.Reset {
 				t.Errorf("second: %+v", o)
 			}
 			if n := calls.Load(); n != 2 {
@@ -167,7 +238,7 @@
 			}
 		})
 	}
-	req, err := newCallRequest(context.Background(), "127.0.0.1:1", "m", "k", []byte("b"), time.Second)
+	req, err := newCallRequest(context.Background(), "127.0.0.1:1", []*record{{ID: "m", Key: "k", body: []byte("b")}}, time.Second)
 	if err != nil || req.GetBody != nil || req.Body == http.NoBody {
 		t.Errorf("request can be rewound: GetBody %v, body %v, err %v", req.GetBody != nil, req.Body, err)
 	}
@@ -188,7 +259,7 @@
 	defer conns.CloseIdleConnections()
 	c := newTestCall()
 	go func() { <-dialing; c.drained() }()
-	o := c.run(conns, ep.addr(), &record{ID: "m"}, testLimit, nil)
+	o := runOne(c, conns, ep.addr(), &record{ID: "m"}, testLimit)
 	if o.what != decide.NotSent || o.took > testLimit.Microseconds()/2 {
 		t.Errorf("got %+v", o)
 	}
@@ -203,7 +274,7 @@
 	late.stage.Store(callStopped)
 	tr := newConns(&testSet(t).Policy, 2)
 	defer tr.CloseIdleConnections()
-	if o := late.run(tr, ep.addr(), &record{ID: "late"}, testLimit, nil); o.what != decide.NotSent || ep.count("late") != 0 {
+	if o := runOne(late, tr, ep.addr(), &record{ID: "late"}, testLimit); o.what != decide.NotSent || ep.count("late") != 0 {
 		t.Errorf("got %+v, and %d calls", o, ep.count("late"))
 	}
 	// What is under way already is not stopped.
@@ -259,7 +330,7 @@
 	for round := range 2 {
 		done := make(chan outcome, burst)
 		for range burst {
-			go func() { done <- newTestCall().run(tr, addr, &record{ID: "m"}, testLimit, nil) }()
+			go func() { done <- runOne(newTestCall(), tr, addr, &record{ID: "m"}, testLimit) }()
 		}
 		for range burst {
 			if o := <-done; o.what != decide.Delivered {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -207,6 +207,14 @@
 		if answer != nil {
 			answer(w, r, n)
 		}
+		var items []batchItem
+		if r.URL.Path == batchPath && json.Unmarshal(body, &items) == nil {
+			states := []map[string]string{}
+			for _, x := range items {
+				states = append(states, map[string]string{"id": x.ID, "state": "accepted"})
+			}
+			json.NewEncoder(w).Encode(states)
+		}
 	}))
 	t.Cleanup(func() { e.CloseClientConnections(); e.Close() })
 	return e
@@ -231,7 +239,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, c := range e.calls {
-		if c.id == id {
+		var items []batchItem
+		if c.id == "" && json.Unmarshal(c.body, &items) == nil {
+			for _, x := range items {
+				if x.ID == id {
+					n++
+				}
+			}
+		} else if c.id == id {
 			n++
 		}
 	}
@@ -266,6 +281,18 @@
 		"ROUTER_DISCOVERY": d.addr(), "ROUTER_NAME": "n1"}
 }
 
+// editConfig changes a configuration that testConfig wrote.
+func editConfig(t *testing.T, env map[string]string, old, new string) {
+	t.Helper()
+	text, err := os.ReadFile(env["ROUTER_CONFIG"])
+	if err != nil || !strings.Contains(string(text), old) {
+		t.Fatalf("no %s in the configuration: %v", old, err)
+	}
+	if err := os.WriteFile(env["ROUTER_CONFIG"], []byte(strings.Replace(string(text), old, new, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // child is a relay in a process of its own.
 type child struct {
 	cmd *exec.Cmd
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"time"
 
 	"troutusher/decide"
@@ -36,23 +37,47 @@
 	logged  bool     // the log has it, or will
 	over    bool     // the policy has ended it, or was told so
 	tries   int
-	pending *decide.Action // a send that waits for the client to have heard
-	ending  *record        // its end, likewise
+	pending *batch  // a send that waits for clients to have heard
+	ending  *record // its end, likewise
 	call    *call
 }
 
+// batch is what one step sends to one endpoint as one call. It goes out once
+// the clients of all its messages have heard that these are taken on.
+type batch struct {
+	ep    *endpoint
+	sends []send
+	bytes int // that its body takes up at most
+}
+
+type send struct {
+	m  *message
+	at decide.Time // the moment it times out
+}
+
+func (b *batch) remove(m *message) {
+	b.sends = slices.DeleteFunc(b.sends, func(s send) bool { return s.m == m })
+}
+
 // happening is something that the loop is told.
 type happening struct {
-	put    *request
-	said   *request // with ok
-	lost   *request // the log could not take it
-	news   *List
-	call   *call // with result
-	unsent *call // its attempt could not be logged
-	probed decide.Endpoint
-	result *outcome
-	ok     bool
-	stop   bool
+	put     *request
+	said    *request // with ok
+	lost    *request // the log could not take it
+	news    *List
+	call    *call // with results, one for each of its parts
+	results []outcome
+	unsent  *unsent
+	probed  decide.Endpoint
+	result  *outcome
+	ok      bool
+	stop    bool
+}
+
+// unsent is an attempt that never left.
+type unsent struct {
+	m  *message
+	ep decide.Endpoint
 }
 
 // Relay is one running relay.
@@ -73,6 +98,7 @@
 	byNum     map[decide.Endpoint]*endpoint
 	events    []decide.Event
 	actions   []decide.Action
+	batches   []*batch    // of the step that is being carried out
 	timerAt   decide.Time // 0 for none
 	held      int
 	calls     int
@@ -287,9 +313,10 @@
 		}
 		r.list(h.news, kind)
 	case h.unsent != nil:
-		r.finished(h.unsent, &outcome{what: decide.NotSent, err: errors.New("attempt not logged")}, false)
+		m := h.unsent.m
+		r.attempted(m, r.byNum[h.unsent.ep], m.tries-1, &outcome{what: decide.NotSent, unsaved: true})
 	case h.call != nil:
-		r.finished(h.call, h.result, true)
+		r.finished(h.call, h.results)
 	case h.probed != 0:
 		r.events = append(r.events, decide.Event{Kind: decide.EvProbed, Endpoint: h.probed,
 			Outcome: h.result.what, Took: h.result.took, Load: h.result.load})
@@ -332,9 +359,8 @@
 		return
 	}
 	m.heard = true
-	if a := m.pending; a != nil && !r.shelve(m) {
-		m.pending = nil
-		r.send(m, a)
+	if b := m.pending; b != nil {
+		r.launch(b)
 	}
 	if e := m.ending; e != nil {
 		m.ending = nil
@@ -362,10 +388,19 @@
 		r.drop(m)
 		r.events = append(r.events, decide.Event{Kind: decide.EvWithdraw, Message: m.num})
 	}
-	if a := m.pending; a != nil {
-		m.pending = nil
-		r.notSent(m, a.Endpoint)
+	r.takeBack(m)
+}
+
+// takeBack lets a message out of the batch that it waits in.
+func (r *Relay) takeBack(m *message) {
+	b := m.pending
+	if b == nil {
+		return
 	}
+	m.pending = nil
+	b.remove(m)
+	r.notSent(m, b.ep)
+	r.launch(b) // it may have been the last one waited for
 }
 
 // drop: the policy holds the message no longer.
@@ -420,7 +455,10 @@
 	}
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.cfg.zones, x.Locality), Kind: place(r.cfg.kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
-	ep.zone = entry.Zone
+	ep.zone, ep.batch = entry.Zone, 1
+	if entry.Kind >= 0 {
+		ep.batch = max(r.cfg.Policy.Kinds[entry.Kind].Batch, 1)
+	}
 	switch x.Phase {
 	case phaseUp:
 		ep.gone = false
@@ -487,6 +525,11 @@
 	for i := range r.actions {
 		r.act(now, &r.actions[i])
 	}
+	batches := r.batches
+	r.batches = nil
+	for _, b := range batches {
+		r.launch(b)
+	}
 }
 
 // takeOn logs a message; its client hears of it once that is done.
@@ -545,26 +588,16 @@
 func (r *Relay) act(now decide.Time, a *decide.Action) {
 	switch a.Kind {
 	case decide.ActSend:
-		m := r.msgs[a.Message]
-		if m == nil {
-			return
-		}
-		m.tries++
-		c := *a
-		if m.heard && !r.shelve(m) {
-			r.send(m, &c)
-		} else {
-			m.pending = &c
+		if m := r.msgs[a.Message]; m != nil {
+			m.tries++
+			r.gather(m, a)
 		}
 	case decide.ActCancel:
 		if m := r.msgs[a.Message]; m != nil && a.Attempt == m.tries-1 {
-			switch {
-			case m.call != nil:
-				m.call.stop(errCancelled)
-			case m.pending != nil:
-				ep := m.pending.Endpoint
-				m.pending = nil
-				r.notSent(m, ep)
+			if m.call != nil {
+				m.call.drop(m)
+			} else {
+				r.takeBack(m)
 			}
 		}
 	case decide.ActTimer:
@@ -590,63 +623,133 @@
 
 // notSent tells the policy of an attempt that never left. The loop comes by
 // again for it.
-func (r *Relay) notSent(m *message, ep decide.Endpoint) {
-	r.in.put(happening{unsent: &call{m: m, ep: r.byNum[ep], attempt: m.tries - 1}})
+func (r *Relay) notSent(m *message, ep *endpoint) {
+	u := &unsent{m: m}
+	if ep != nil {
+		u.ep = ep.num
+	}
+	r.in.put(happening{unsent: u})
 }
 
-// send logs an attempt and then makes it.
-func (r *Relay) send(m *message, a *decide.Action) {
+// gather puts a send with those that the same step makes to the same endpoint,
+// as many as one call there may carry.
+func (r *Relay) gather(m *message, a *decide.Action) {
 	ep := r.byNum[a.Endpoint]
-	limit := a.At - r.now()
-	if ep == nil || ep.gone || ep.cell != m.rec.Dest || limit <= 0 || m.over {
-		r.notSent(m, a.Endpoint)
+	if ep == nil {
+		r.notSent(m, nil)
 		return
 	}
+	size := framed(m.rec)
+	for _, b := range r.batches {
+		if b.ep == ep && len(b.sends) < ep.batch && b.bytes+size <= bodyMost {
+			b.sends, b.bytes = append(b.sends, send{m, a.At}), b.bytes+size
+			m.pending = b
+			return
+		}
+	}
+	b := &batch{ep: ep, sends: []send{{m, a.At}}, bytes: size}
+	m.pending = b
+	r.batches = append(r.batches, b)
+}
+
+// launch logs the attempts of a batch and then makes its call, unless a client
+// has yet to hear of its message: what was not taken on must not go out.
+func (r *Relay) launch(b *batch) {
+	for _, s := range b.sends {
+		if !s.m.heard {
+			return
+		}
+	}
+	ep, now := b.ep, r.now()
 	ctx, stop := context.WithCancelCause(r.ctx)
-	c := &call{m: m, ep: ep, attempt: m.tries - 1, ctx: ctx, stop: stop}
-	m.call = c
+	c := &call{ep: ep, ctx: ctx, stop: stop}
+	limit := decide.Time(0)
+	for _, s := range slices.Clone(b.sends) {
+		m := s.m
+		if r.shelve(m) {
+			continue // it stays pending
+		}
+		m.pending = nil
+		b.remove(m)
+		if ep.gone || ep.cell != m.rec.Dest || s.at <= now || m.over {
+			r.notSent(m, ep)
+			continue
+		}
+		c.parts = append(c.parts, part{m: m, attempt: m.tries - 1})
+		limit = max(limit, s.at-now) // one connection: it stands until the last of them gives up
+		m.call = c
+	}
+	if len(c.parts) == 0 {
+		stop(nil)
+		return
+	}
 	ep.calls[c] = true
 	r.calls++
-	conns, addr, rec := ep.conns, ep.hostPort, m.rec
-	r.wal.submit(&record{Kind: recAttempt, ID: rec.ID, At: r.wall(r.now()), Zone: ep.zone}, func(err error) {
-		if err != nil {
-			stop(err)
-			r.in.put(happening{unsent: c})
-			return
+	r.sendOff(c, time.Duration(limit)*time.Microsecond)
+}
+
+// sendOff has the attempts of a call logged. On the log's goroutine, once the
+// last of them is, the call is begun with those that could be.
+func (r *Relay) sendOff(c *call, limit time.Duration) {
+	conns, addr, at := c.ep.conns, c.ep.hostPort, r.wall(r.now())
+	results := make([]outcome, len(c.parts))
+	var recs []*record // what could be logged, and so goes out
+	var place []int    // its place in the call
+	begin := func() {
+		if len(recs) > 0 {
+			for i, o := range c.run(conns, addr, recs, limit, r.cfg.loads) {
+				results[place[i]] = o
+			}
 		}
-		go func() {
-			o := c.run(conns, addr, rec, time.Duration(limit)*time.Microsecond, r.cfg.loads)
-			stop(nil)
-			r.in.put(happening{call: c, result: &o})
-		}()
-	})
+		c.stop(nil)
+		r.in.put(happening{call: c, results: results})
+	}
+	last := len(c.parts) - 1
+	for i := range c.parts {
+		rec := c.parts[i].m.rec
+		r.wal.submit(&record{Kind: recAttempt, ID: rec.ID, At: at, Zone: c.ep.zone}, func(err error) {
+			if err != nil {
+				results[i] = outcome{what: decide.NotSent, err: err, unsaved: true}
+			} else {
+				recs, place = append(recs, rec), append(place, i)
+			}
+			if i == last {
+				go begin()
+			}
+		})
+	}
 }
 
-// finished books the end of an attempt.
-func (r *Relay) finished(c *call, o *outcome, logged bool) {
-	m := c.m
-	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: c.attempt, Outcome: o.what, Wait: o.wait,
-		Slots: o.slots, Settled: o.settled || m.over, Took: o.took, Load: o.load}
-	if c.ep != nil {
-		e.Endpoint = c.ep.num
-		delete(c.ep.calls, c)
+// finished books the end of a call.
+func (r *Relay) finished(c *call, results []outcome) {
+	delete(c.ep.calls, c)
+	r.calls--
+	if c.ep.conns != nil && c.ep.suspect(&results[0], r.now()) {
+		c.ep.conns.CloseIdleConnections()
 	}
-	if m.call == c {
-		m.call = nil
-		r.calls--
+	for i := range c.parts {
+		p := &c.parts[i]
+		p.m.call = nil
+		r.attempted(p.m, c.ep, p.attempt, &results[i])
 	}
-	r.events = append(r.events, e)
-	if c.ep != nil && c.ep.conns != nil && c.ep.suspect(o, r.now()) {
-		c.ep.conns.CloseIdleConnections()
+}
+
+// attempted books the end of an attempt.
+func (r *Relay) attempted(m *message, ep *endpoint, attempt int, o *outcome) {
+	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: attempt, Outcome: o.what, Wait: o.wait,
+		Slots: o.slots, Settled: o.settled || m.over, Took: o.took, Load: o.load}
+	if ep != nil {
+		e.Endpoint = ep.num
 	}
+	r.events = append(r.events, e)
 	if o.what != decide.Delivered {
 		r.log.Info("attempt", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
-			"attempt", c.attempt, "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000, "err", o.err)
+			"attempt", attempt, "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000, "err", o.err)
 	}
 	switch {
 	case o.settled:
 		r.wal.submit(&record{Kind: recEnd, ID: m.rec.ID}, nil)
-	case logged:
+	case !o.unsaved:
 		r.wal.submit(&record{Kind: recOutcome, ID: m.rec.ID, Ran: !o.what.NeverRan()}, nil)
 	}
 	if o.settled && !m.over {
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -32,6 +34,55 @@
 	}
 }
 
+// Guards the batch: where a kind of destination takes several messages in one
+// call, what waits for it goes out as one call, no longer than a body may be.
+func TestBatchIsOneCall(t *testing.T) {
+	first := make(chan struct{})
+	ep := newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 {
+			<-first
+		}
+	})
+	env := testConfig(t, newFakeDiscovery(t, ep.member("s-1", 7)), 3)
+	editConfig(t, env, `"kind_batch":[1]`, `"kind_batch":[5]`)
+	startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for i := range 5 {
+		if s := cl.put(fmt.Sprintf("m%d", i), fields("once", 20000, 7), []byte("body")); s != "+OK" {
+			t.Fatal(s)
+		}
+	}
+	for _, id := range []string{"long1", "long2"} {
+		if s := cl.put(id, fields("once", 20000, 7), bytes.Repeat([]byte("x"), 40<<10)); s != "+OK" {
+			t.Fatal(s)
+		}
+	}
+	waitFor(t, "the first call", func() bool { return ep.count("m0") == 1 })
+	close(first)
+	waitFor(t, "the rest", func() bool { return ep.count("long1") == 1 && ep.count("long2") == 1 })
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	together := false
+	for _, c := range ep.calls {
+		if len(c.body) > bodyMost {
+			t.Errorf("a body of %d bytes", len(c.body))
+		}
+		var items []batchItem
+		if json.Unmarshal(c.body, &items) != nil {
+			continue
+		}
+		together = true
+		for _, x := range items {
+			if string(x.Body) != "body" && len(x.Body) != 40<<10 {
+				t.Errorf("%s arrived as %q", x.ID, x.Body)
+			}
+		}
+	}
+	if !together {
+		t.Errorf("%d calls for 7 messages, none with several", len(ep.calls))
+	}
+}
+
 // Guards what was taken on against SIGKILL: an unsafe attempt with no outcome
 // may have run and fails by notice, a keyed one goes out again in its window,
 // one that was only turned away goes on, and what was delivered stays so.
