Learn how long an idle connection to an endpoint may be reused

The share of resets is now kept by idle time, for each endpoint and for all together; where it is high, connections are closed before they are so old. It fades, so that a longer time is tried again. The attempt's log line tells how long its connection had been idle.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -44,9 +44,29 @@
 	goneAt   decide.Time
 	answerAt decide.Time // when it last answered at all
 	conns    *http.Transport
+	idle     idleWatch
 	calls    map[*call]bool
 }
 
+// reuse has the endpoint's connections stand idle for no longer than this.
+func (ep *endpoint) reuse(set *decide.Settings, idle int, limit time.Duration) {
+	if ep.conns != nil && ep.conns.IdleConnTimeout == limit {
+		return
+	}
+	if ep.conns != nil { // calls that are out on them go on
+		ep.conns.CloseIdleConnections()
+	}
+	ep.conns = newConns(set, idle, limit)
+}
+
+// keepIdle is how long a connection may stand idle by the settings. A request
+// written to a connection that the endpoint is closing ends as a reset: ours
+// close first.
+func keepIdle(set *decide.Settings) time.Duration {
+	keep := time.Duration(set.KeepAlive) * time.Microsecond
+	return keep - keep/idleMargin
+}
+
 // suspect books how a call went and reports whether the endpoint's idle
 // connections are to be given up. After a machine was silent or died, each of
 // them would hang or be reset under a call that may then have run.
@@ -65,15 +85,12 @@
 
 // newConns makes the connections of one endpoint. Each endpoint has its own,
 // so that its idle ones can be given back alone.
-func newConns(set *decide.Settings, idle int) *http.Transport {
-	keep := time.Duration(set.KeepAlive) * time.Microsecond
+func newConns(set *decide.Settings, idle int, limit time.Duration) *http.Transport {
 	connect := time.Duration(set.ConnectTimeout) * time.Microsecond
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connect, KeepAlive: -1}).DialContext,
-		MaxIdleConnsPerHost: idle, // the default of two would close the rest after each burst
-		// A request written to a connection that the endpoint is closing ends
-		// as a reset: ours close first.
-		IdleConnTimeout:        keep - keep/idleMargin,
+		DialContext:            (&net.Dialer{Timeout: connect, KeepAlive: -1}).DialContext,
+		MaxIdleConnsPerHost:    idle, // the default of two would close the rest after each burst
+		IdleConnTimeout:        limit,
 		MaxResponseHeaderBytes: 64 << 10,
 		DisableCompression:     true,
 		Protocols:              http1(),
@@ -105,6 +122,7 @@
 type call struct {
 	parts  []part
 	ep     *endpoint
+	conns  *http.Transport // of the endpoint, as they were when it began
 	stage  atomic.Int32
 	broken atomic.Bool // the connection broke before the last byte was written
 	ctx    context.Context
@@ -121,7 +139,8 @@
 	load    decide.Load
 	status  int
 	err     error
-	unsaved bool // the attempt could not be logged, so it was not made
+	idle    time.Duration // for which its connection had been idle; 0 for one in use or new
+	unsaved bool          // the attempt could not be logged, so it was not made
 }
 
 // drop gives up the wait for one message. The call itself goes on for as long
@@ -205,8 +224,10 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeoutCause(c.ctx, limit, context.DeadlineExceeded)
 	defer cancel()
+	var idle atomic.Int64
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
+			idle.Store(int64(info.IdleTime))
 			if !c.stage.CompareAndSwap(callWaiting, callSending) && c.stage.Load() == callStopped {
 				cancel() // a drain came first
 			}
@@ -225,7 +246,7 @@
 		return all(outcome{what: decide.NotSent, err: err})
 	}
 	resp, err := conns.RoundTrip(req)
-	o := outcome{took: time.Since(began).Microseconds()}
+	o := outcome{took: time.Since(began).Microseconds(), idle: time.Duration(idle.Load())}
 	if err != nil {
 		o.what, o.err = c.failure(ctx, err), err
 		return all(o)
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -37,6 +37,11 @@
 	return c.run(conns, addr, []*record{rec}, limit, nil)[0]
 }
 
+func testConns(t *testing.T, idle int) *http.Transport {
+	set := &testSet(t).Policy
+	return newConns(set, idle, keepIdle(set))
+}
+
 const testLimit = 20 * time.Second
 
 // rawEndpoint serves connections by hand, for what no HTTP server does.
@@ -100,7 +105,7 @@
 		"first a hint, then": {serve: say("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), what: decide.Delivered, settled: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			conns := newConns(&testSet(t).Policy, 2)
+			conns := testConns(t, 2)
 			defer conns.CloseIdleConnections()
 			o := runOne(newTestCall(), conns, rawEndpoint(t, x.serve), &record{ID: "m", Key: "k", body: []byte("b")}, testLimit)
 			if o.what != x.what || o.wait != x.wait || o.slots != x.slots || o.settled != x.settled {
@@ -142,7 +147,7 @@
 				got <- req.URL.Path + " " + string(text)
 				io.WriteString(c, x.answer)
 			})
-			conns := newConns(&testSet(t).Policy, 2)
+			conns := testConns(t, 2)
 			defer conns.CloseIdleConnections()
 			recs := []*record{{ID: "a", Key: "k", body: []byte("hello")}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}, {ID: "f"}}
 			out := newTestCall().run(conns, addr, recs, testLimit, nil)
@@ -176,7 +181,7 @@
 // Guards the difference between what never ran and what may have: a refused
 // connection never ran, silence after the last byte may have.
 func TestOutcomesWithoutAnswer(t *testing.T) {
-	conns := newConns(&testSet(t).Policy, 2)
+	conns := testConns(t, 2)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -224,7 +229,7 @@
 					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 				}
 			})
-			conns := newConns(&testSet(t).Policy, 2)
+			conns := testConns(t, 2)
 			defer conns.CloseIdleConnections()
 			rec := &record{ID: "m", Key: "k", body: body}
 			if o := runOne(newTestCall(), conns, addr, rec, testLimit); o.what != decide.Delivered {
@@ -249,7 +254,7 @@
 func TestDrainStopsWaitingCall(t *testing.T) {
 	ep := newFakeEndpoint(t, nil)
 	dialing, release, up := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	conns := newConns(&testSet(t).Policy, 2)
+	conns := testConns(t, 2)
 	conns.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		close(dialing)
 		<-release
@@ -272,7 +277,7 @@
 	// The word may also come just as the connection does.
 	late := newTestCall()
 	late.stage.Store(callStopped)
-	tr := newConns(&testSet(t).Policy, 2)
+	tr := testConns(t, 2)
 	defer tr.CloseIdleConnections()
 	if o := runOne(late, tr, ep.addr(), &record{ID: "late"}, testLimit); o.what != decide.NotSent || ep.count("late") != 0 {
 		t.Errorf("got %+v, and %d calls", o, ep.count("late"))
@@ -325,7 +330,7 @@
 			io.Copy(c, bytes.NewReader(append([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n"), make([]byte, 9000)...)))
 		}
 	})
-	tr := newConns(&testSet(t).Policy, burst)
+	tr := testConns(t, burst)
 	defer tr.CloseIdleConnections()
 	for round := range 2 {
 		done := make(chan outcome, burst)
@@ -369,7 +374,7 @@
 func TestProbe(t *testing.T) {
 	for code, want := range map[int]decide.Outcome{200: decide.Delivered, 503: decide.Full, 404: decide.Errored} {
 		ep := newFakeEndpoint(t, status(code))
-		if o := probe(context.Background(), newConns(&testSet(t).Policy, 2), ep.addr()); o.what != want {
+		if o := probe(context.Background(), testConns(t, 2), ep.addr()); o.what != want {
 			t.Errorf("%d: %+v", code, o)
 		}
 	}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -19,6 +19,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"troutusher/decide"
 )
 
 // childEnv makes the test's own program a relay, so that a test can kill one.
@@ -293,6 +295,28 @@
 	}
 }
 
+// newTestRelay is a relay with its log but with no socket and no loop: a test
+// takes the loop's place.
+func newTestRelay(t *testing.T) *Relay {
+	t.Helper()
+	cfg := testSet(t)
+	policy, err := decide.New(cfg.Policy, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, _, err := openWAL(t.TempDir(), 3<<20, quietLog())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	go w.run(stop)
+	r := &Relay{cfg: cfg, log: quietLog(), policy: policy, in: newMailbox[happening](), began: time.Now(), wal: w,
+		ctx: t.Context(), msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
+		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, idleConns: 2}
+	t.Cleanup(func() { close(stop); <-w.done })
+	return r
+}
+
 // child is a relay in a process of its own.
 type child struct {
 	cmd *exec.Cmd
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -104,6 +104,7 @@
 	calls     int
 	stopAt    time.Time
 	idleConns int
+	idle      idleWatch // of all endpoints together
 	ctx       context.Context
 }
 
@@ -450,7 +451,7 @@
 	if x.Phase != phaseRemoved && (ep.hostPort != x.HostPort || ep.cell != x.Cell) {
 		// It moved under its old name: nothing more goes to the old place.
 		r.leave(ep)
-		ep.conns = newConns(&r.cfg.Policy, r.idleConns)
+		ep.conns = newConns(&r.cfg.Policy, r.idleConns, keepIdle(&r.cfg.Policy))
 		ep.hostPort, ep.cell = x.HostPort, x.Cell
 	}
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.cfg.zones, x.Locality), Kind: place(r.cfg.kinds, x.Flavor),
@@ -662,7 +663,9 @@
 	}
 	ep, now := b.ep, r.now()
 	ctx, stop := context.WithCancelCause(r.ctx)
-	c := &call{ep: ep, ctx: ctx, stop: stop}
+	keep := keepIdle(&r.cfg.Policy)
+	ep.reuse(&r.cfg.Policy, r.idleConns, min(ep.idle.limit(keep, now), r.idle.limit(keep, now)))
+	c := &call{ep: ep, conns: ep.conns, ctx: ctx, stop: stop}
 	limit := decide.Time(0)
 	for _, s := range slices.Clone(b.sends) {
 		m := s.m
@@ -691,13 +694,13 @@
 // sendOff has the attempts of a call logged. On the log's goroutine, once the
 // last of them is, the call is begun with those that could be.
 func (r *Relay) sendOff(c *call, limit time.Duration) {
-	conns, addr, at := c.ep.conns, c.ep.hostPort, r.wall(r.now())
+	addr, at := c.ep.hostPort, r.wall(r.now())
 	results := make([]outcome, len(c.parts))
 	var recs []*record // what could be logged, and so goes out
 	var place []int    // its place in the call
 	begin := func() {
 		if len(recs) > 0 {
-			for i, o := range c.run(conns, addr, recs, limit, r.cfg.loads) {
+			for i, o := range c.run(c.conns, addr, recs, limit, r.cfg.loads) {
 				results[place[i]] = o
 			}
 		}
@@ -724,9 +727,17 @@
 func (r *Relay) finished(c *call, results []outcome) {
 	delete(c.ep.calls, c)
 	r.calls--
-	if c.ep.conns != nil && c.ep.suspect(&results[0], r.now()) {
+	o, now := &results[0], r.now()
+	if reset := o.what == decide.Reset; reset || o.status != 0 {
+		c.ep.idle.book(o.idle, reset, now)
+		r.idle.book(o.idle, reset, now)
+	}
+	if c.ep.suspect(o, now) {
 		c.ep.conns.CloseIdleConnections()
 	}
+	if c.conns != c.ep.conns { // replaced meanwhile: its connection is of no more use
+		c.conns.CloseIdleConnections()
+	}
 	for i := range c.parts {
 		p := &c.parts[i]
 		p.m.call = nil
@@ -744,7 +755,8 @@
 	r.events = append(r.events, e)
 	if o.what != decide.Delivered {
 		r.log.Info("attempt", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
-			"attempt", attempt, "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000, "err", o.err)
+			"attempt", attempt, "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000,
+			"idle_ms", o.idle.Milliseconds(), "err", o.err)
 	}
 	switch {
 	case o.settled:
