Take a first line with 200 as delivered, though the rest cannot be read

A call of one message whose answer begins with a whole line of 200 is delivered by the protocol. net/http gives an error for an answer whose head is cut or garbled and keeps the line to itself, so such a copy-order ended as given up and such an alert-update was sent again. The connection now keeps the first line of its newest answer.

TestOutcomes/200,_head_cut fails without the change.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	bodyFrame   = 64 // bytes of a batch's body round each message: quotes, names, commas
 	probePath   = "/health/live"
 	answerMost  = 1 << 20         // bytes of an answer that are read
+	answerLine  = 256             // bytes of its first line
 	probeWait   = 2 * time.Second // a probe that takes longer has failed
 	idleMargin  = 10              // one part in so many of the keep-alive is left unused
 	longestWait = 10 * time.Minute
@@ -87,8 +89,15 @@
 // so that its idle ones can be given back alone.
 func newConns(set *decide.Settings, idle int, limit time.Duration) *http.Transport {
 	connect := time.Duration(set.ConnectTimeout) * time.Microsecond
+	dialer := &net.Dialer{Timeout: connect, KeepAlive: -1}
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: connect, KeepAlive: -1}).DialContext,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &lineConn{Conn: conn}, nil
+		},
 		MaxIdleConnsPerHost:    idle, // the default of two would close the rest after each burst
 		IdleConnTimeout:        limit,
 		MaxResponseHeaderBytes: 64 << 10,
@@ -97,6 +106,45 @@
 	}
 }
 
+// lineConn keeps the first line of the newest answer. net/http tells nothing of
+// an answer that it cannot read to the end of its head, but a call of one
+// message is delivered once its first line says so.
+type lineConn struct {
+	net.Conn
+	mu   sync.Mutex
+	line []byte // as far as it has come
+}
+
+func (c *lineConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.line = c.line[:0]
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+func (c *lineConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i := len(c.line); n > 0 && i < answerLine && (i == 0 || c.line[i-1] != '\n') {
+		part := b[:min(n, answerLine-i)]
+		if end := bytes.IndexByte(part, '\n'); end >= 0 {
+			part = part[:end+1]
+		}
+		c.line = append(c.line, part...)
+	}
+	return n, err
+}
+
+// said200 reports whether a whole first line has come, and it says 200.
+func (c *lineConn) said200() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	word := bytes.Fields(c.line)
+	return bytes.HasPrefix(c.line, []byte("HTTP/1.")) && bytes.HasSuffix(c.line, []byte("\n")) &&
+		len(word) > 1 && string(word[1]) == "200"
+}
+
 // Stages of a call.
 const (
 	callWaiting int32 = iota // for a connection: stopped now, it has never run
@@ -225,9 +273,13 @@
 	ctx, cancel := context.WithTimeoutCause(c.ctx, limit, context.DeadlineExceeded)
 	defer cancel()
 	var idle atomic.Int64
+	var line atomic.Pointer[lineConn]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			idle.Store(int64(info.IdleTime))
+			if conn, ok := info.Conn.(*lineConn); ok {
+				line.Store(conn)
+			}
 			if !c.stage.CompareAndSwap(callWaiting, callSending) && c.stage.Load() == callStopped {
 				cancel() // a drain came first
 			}
@@ -249,6 +301,9 @@
 	o := outcome{took: time.Since(began).Microseconds(), idle: time.Duration(idle.Load())}
 	if err != nil {
 		o.what, o.err = c.failure(ctx, err), err
+		if conn := line.Load(); len(recs) == 1 && conn != nil && c.stage.Load() == callWritten && conn.said200() {
+			o.what, o.settled, o.status = decide.Delivered, true, http.StatusOK
+		}
 		return all(o)
 	}
 	defer resp.Body.Close()
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -101,6 +101,10 @@
 		"no redirect":        {serve: say("HTTP/1.1 307 R\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n"), what: decide.Errored},
 		"broken after":       {serve: say(""), what: decide.Reset},
 		"nonsense":           {serve: say("what?\r\n\r\n"), what: decide.Reset},
+		"200, head cut":      {serve: say("HTTP/1.1 200 OK\r\nContent-Le"), what: decide.Delivered, settled: true},
+		"200, head garbled":  {serve: say("HTTP/1.1 200 OK\r\nno colon\r\n\r\n"), what: decide.Delivered, settled: true},
+		"500, head cut":      {serve: say("HTTP/1.1 500 E\r\nContent-Le"), what: decide.Reset},
+		"half a first line":  {serve: say("HTTP/1.1 200 O"), what: decide.Reset},
 		"half an answer":     {serve: say("HTTP/1.1 20"), what: decide.Reset},
 		"first a hint, then": {serve: say("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), what: decide.Delivered, settled: true},
 	} {
