Follow discovery to its new address on SIGHUP, which ended the process

The file is now read again, and the watch and the notices go to the address that it names; the watch goes on from the version reached. A file that cannot be used changes nothing.

TestReconfigured fails without the change.

--- a/cmd/troutusher/main.go
+++ b/cmd/troutusher/main.go
@@ -23,6 +23,8 @@
 )
 
 func main() {
+	hup := make(chan os.Signal, 1) // from the first moment: unhandled, it would end the process
+	signal.Notify(hup, syscall.SIGHUP)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	cfg, err := relay.LoadConfig(os.Getenv)
 	if err != nil {
@@ -33,7 +35,7 @@
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 7) // the rest is for files and stacks
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	if err := relay.Run(cfg, log, ctx.Done()); err != nil {
+	if err := relay.Run(cfg, log, ctx.Done(), relay.Moves(hup, os.Getenv, log)); err != nil {
 		log.Error("ended", "err", err)
 		os.Exit(exitFailed)
 	}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"strconv"
@@ -53,6 +54,41 @@
 	return parseConfig(text, getenv)
 }
 
+// Moves reads the file that ROUTER_CONFIG names again at each signal, and gives
+// discovery's address as it stands there: the environment is as old as the
+// process. A file that cannot be used leaves everything as it was.
+func Moves(signals <-chan os.Signal, getenv func(string) string, log *slog.Logger) <-chan string {
+	moved := make(chan string)
+	go func() {
+		for range signals {
+			addr, err := discoveryNow(getenv("ROUTER_CONFIG"))
+			if err != nil {
+				log.Error("not reconfigured", "err", err)
+				continue
+			}
+			moved <- addr
+		}
+	}()
+	return moved
+}
+
+func discoveryNow(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	var f struct {
+		Discovery string `json:"discovery"`
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return "", fmt.Errorf("config: %w", err)
+	}
+	if _, _, err := net.SplitHostPort(f.Discovery); err != nil {
+		return "", fmt.Errorf("config: discovery: %w", err)
+	}
+	return f.Discovery, nil
+}
+
 func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
 	var f struct {
 		Name      string          `json:"name"`
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -103,9 +104,35 @@
 	return p
 }
 
+// agent is the address of discovery, which the platform may change.
+type agent struct {
+	mu   sync.Mutex
+	addr string
+	left context.CancelFunc // ends what goes on at addr
+}
+
+// turn gives the address and a context that ends when it is left.
+func (a *agent) turn(ctx context.Context) (context.Context, context.CancelFunc, string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	a.left = cancel
+	return ctx, cancel, a.addr
+}
+
+// move has the next turn go to addr, and the present one end.
+func (a *agent) move(addr string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.addr = addr
+	if a.left != nil {
+		a.left()
+	}
+}
+
 // discovery keeps a watch on the list and hands on its news.
 type discovery struct {
-	base    string
+	agent
 	log     *slog.Logger
 	client  *http.Client
 	silence time.Duration
@@ -113,7 +140,7 @@
 }
 
 func newDiscovery(addr string, log *slog.Logger, news func(*List)) *discovery {
-	return &discovery{base: "http://" + addr, log: log, client: newPlainClient(4), silence: discSilence, news: news}
+	return &discovery{agent: agent{addr: addr}, log: log, client: newPlainClient(4), silence: discSilence, news: news}
 }
 
 // run watches until ctx ends. What is heard is passed on with no delay: the
@@ -122,18 +149,21 @@
 	defer d.client.CloseIdleConnections()
 	rev, whole := int64(0), false
 	for ctx.Err() == nil {
+		turn, cancel, addr := d.turn(ctx)
 		var err error
 		if !whole {
 			var l *List
-			if l, err = d.fetch(ctx); err == nil {
+			if l, err = d.fetch(turn, addr); err == nil {
 				rev, whole = l.Revision, true
 				d.news(l)
 			}
 		}
 		if whole {
-			rev, whole, err = d.watch(ctx, rev)
+			rev, whole, err = d.watch(turn, addr, rev)
 		}
-		if ctx.Err() == nil {
+		moved := turn.Err() != nil
+		cancel()
+		if ctx.Err() == nil && !moved {
 			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "err", err)
 			sleep(ctx, discPause)
 		}
@@ -150,10 +180,10 @@
 }
 
 // fetch asks once for the whole list.
-func (d *discovery) fetch(ctx context.Context) (*List, error) {
+func (d *discovery) fetch(ctx context.Context, addr string) (*List, error) {
 	ctx, cancel := context.WithTimeout(ctx, discAnswer)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+listPath, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+listPath, nil)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
@@ -179,12 +209,12 @@
 // watch follows the changes after a version. whole tells whether the list is
 // still known up to the version that it returns; after a line that cannot be
 // read it is not, and the whole list must be had again.
-func (d *discovery) watch(ctx context.Context, from int64) (rev int64, whole bool, err error) {
+func (d *discovery) watch(ctx context.Context, addr string, from int64) (rev int64, whole bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	quiet := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
 	defer quiet.Stop()
-	url := d.base + listPath + "?watch=1&from=" + strconv.FormatInt(from, 10)
+	url := "http://" + addr + listPath + "?watch=1&from=" + strconv.FormatInt(from, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return from, true, fmt.Errorf("discovery: %w", err)
@@ -247,7 +277,7 @@
 
 // notices sends notices until each has been taken. Repeats are harmless.
 type notices struct {
-	url    string
+	agent
 	log    *slog.Logger
 	client *http.Client
 	in     *mailbox[notice]
@@ -255,7 +285,7 @@
 }
 
 func newNotices(addr string, log *slog.Logger, taken func(string)) *notices {
-	return &notices{url: "http://" + addr + noticePath, log: log, client: newPlainClient(2),
+	return &notices{agent: agent{addr: addr}, log: log, client: newPlainClient(2),
 		in: newMailbox[notice](), taken: taken}
 }
 
@@ -308,6 +338,8 @@
 }
 
 func (n *notices) post(ctx context.Context, batch []notice, wait time.Duration) (int, error) {
+	ctx, left, addr := n.turn(ctx)
+	defer left()
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	var body bytes.Buffer
@@ -317,7 +349,7 @@
 			return 0, fmt.Errorf("notices: %w", err)
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.url, &body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+noticePath, &body)
 	if err != nil {
 		return 0, fmt.Errorf("notices: %w", err)
 	}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -30,6 +30,8 @@
 	if os.Getenv(childEnv) == "" {
 		os.Exit(m.Run())
 	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	cfg, err := LoadConfig(os.Getenv)
 	if err != nil {
@@ -37,7 +39,7 @@
 		os.Exit(2)
 	}
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-	if err := Run(cfg, log, ctx.Done()); err != nil {
+	if err := Run(cfg, log, ctx.Done(), Moves(hup, os.Getenv, log)); err != nil {
 		log.Error("child", "err", err)
 		os.Exit(1)
 	}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -118,8 +118,8 @@
 func (r *Relay) fromWall(us int64) decide.Time { return us - r.began.UnixMicro() + clockStart }
 
 // Run serves until stop is closed and the end is made, or something fails that
-// a relay cannot go on without.
-func Run(cfg *Config, log *slog.Logger, stop <-chan struct{}) error {
+// a relay cannot go on without. What moved gives is discovery's new address.
+func Run(cfg *Config, log *slog.Logger, stop <-chan struct{}, moved <-chan string) error {
 	policy, err := decide.New(cfg.Policy, cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("config: settings: %w", err)
@@ -143,7 +143,20 @@
 		wal.submit(&record{Kind: recEnd, ID: id}, nil)
 	})
 	go r.notices.run(ctx)
-	go newDiscovery(cfg.Discovery, log, func(l *List) { r.in.put(happening{news: l}) }).run(ctx)
+	disc := newDiscovery(cfg.Discovery, log, func(l *List) { r.in.put(happening{news: l}) })
+	go disc.run(ctx)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case addr := <-moved:
+				log.Info("discovery has moved", "to", addr)
+				disc.move(addr)
+				r.notices.move(addr)
+			}
+		}
+	}()
 
 	r.firstList()
 	r.restore(owed)
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -83,6 +83,47 @@
 	}
 }
 
+// Guards SIGHUP: it is no end, and list and notices come from and go to the
+// address that the file then names. A file that cannot be used changes nothing.
+func TestReconfigured(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	gone := newFakeEndpoint(t, status(http.StatusInternalServerError))
+	old, moved := newFakeDiscovery(t, gone.member("s-1", 1)), newFakeDiscovery(t, gone.member("s-1", 1), ep.member("s-2", 2))
+	env := testConfig(t, old, 3)
+	c := startChild(t, env)
+	waitFor(t, "the first watch", func() bool { old.mu.Lock(); defer old.mu.Unlock(); return len(old.froms) == 1 })
+	good, err := os.ReadFile(env["ROUTER_CONFIG"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, bad := range []string{`{"disc`, `{"discovery":"nowhere"}`} {
+		if err := os.WriteFile(env["ROUTER_CONFIG"], []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c.cmd.Process.Signal(syscall.SIGHUP)
+		c.ready(t)
+	}
+	text := strings.Replace(string(good), old.addr(), moved.addr(), 1)
+	if err := os.WriteFile(env["ROUTER_CONFIG"], []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the watch at the new address", func() bool {
+		c.cmd.Process.Signal(syscall.SIGHUP) // signals that come close together may be one
+		moved.mu.Lock()
+		defer moved.mu.Unlock()
+		return len(moved.froms) > 0
+	})
+	moved.say(t, change(2, ep.member("s-2", 2)))
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for id, f := range map[string]string{"sent": fields("once", 20000, 2), "failed": fields("once", 20000, 1)} {
+		if s := cl.put(id, f, nil); s != "+OK" {
+			t.Fatal(s)
+		}
+	}
+	waitFor(t, "the call", func() bool { return ep.count("sent") == 1 })
+	waitFor(t, "the notice", func() bool { _, ok := moved.notice("failed"); return ok })
+}
+
 // Guards what was taken on against SIGKILL: an unsafe attempt with no outcome
 // may have run and fails by notice, a keyed one goes out again in its window,
 // one that was only turned away goes on, and what was delivered stays so.
