Close a client connection that has sent no whole command in 2.5 s

Nothing bounded the time before a first byte, and a begun command had 5 s. Who has sent a command may stay idle.

TestSilentPeer fails without the change. Ruled out: leaked connections to endpoints (35 of 298), unread answers.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -24,7 +24,7 @@
 	skipMost   = 1 << 20 // a body this long is still read past, so that the connection can go on
 	lineMost   = 32
 	writeWait  = 2 * time.Second
-	wholeWait  = 5 * time.Second // from a command's first byte to its last
+	wholeWait  = 2500 * time.Millisecond // for a whole command: such peers are owed a close within 3 s
 	lingerWait = 200 * time.Millisecond
 )
 
@@ -215,6 +215,8 @@
 	most int
 	// One that begins a command and does not end it must not hold its place
 	// for ever: it is not idle, and so never makes room for others.
+	// One that says nothing at all would hold a descriptor just so: for a first
+	// command the time counts from connecting.
 	patience time.Duration
 
 	mu      sync.Mutex
@@ -225,7 +227,8 @@
 
 type clientConn struct {
 	net.Conn
-	busy int // requests begun and not answered
+	busy int       // requests begun and not answered
+	by   time.Time // for its first command to be whole; zero once that is
 	idle time.Time
 }
 
@@ -251,7 +254,8 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		cc := &clientConn{Conn: conn, idle: time.Now()}
+		cc := &clientConn{Conn: conn, idle: time.Now(), by: time.Now().Add(c.patience)}
+		cc.SetReadDeadline(cc.by)
 		c.mu.Lock()
 		if len(c.conns) >= c.most {
 			c.evict()
@@ -303,7 +307,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc.busy++
-	cc.SetReadDeadline(time.Now().Add(c.patience))
+	by := time.Now().Add(c.patience)
+	if !cc.by.IsZero() && cc.by.Before(by) {
+		by = cc.by
+	}
+	cc.SetReadDeadline(by)
+}
+
+// read marks a command read to its end. A connection that has carried one is a
+// client's, and may then stand idle.
+func (c *clients) read(cc *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc.by = time.Time{}
+	cc.SetReadDeadline(time.Time{})
 }
 
 // finish marks a request answered; it reports whether the connection is to be
@@ -337,7 +354,7 @@
 			}
 			c.begin(cc)
 			args, err := readCommand(in)
-			cc.SetReadDeadline(time.Time{})
+			c.read(cc)
 			if err != nil && (errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, new(net.Error))) {
 				return // nobody is there to be told
 			}
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -203,6 +203,29 @@
 	}
 }
 
+// Guards the places of clients against peers that connect and say nothing. A
+// client that has spoken once may stand idle.
+func TestSilentPeer(t *testing.T) {
+	c := newClients(testSet(t), quietLog(), accept, func(*request, bool) {})
+	c.patience = 300 * time.Millisecond
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go c.serve(ln)
+	spoken, silent := dialClient(t, ln.Addr().String()), dialClient(t, ln.Addr().String())
+	io.WriteString(spoken, "*1\r\n$4\r\nPING\r\n")
+	spoken.line()
+	if _, err := silent.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("a silent peer: %v", err)
+	}
+	io.WriteString(spoken, "*1\r\n$4\r\nPING\r\n") // idle for longer than the patience
+	if s := spoken.line(); s != "+PONG" {
+		t.Errorf("answer %q", s)
+	}
+}
+
 func FuzzReadCommand(f *testing.F) {
 	f.Add([]byte(putText("m", "c=plain", []byte("b"))))
 	f.Add([]byte("*1\r\n$4\r\nPING\r\n"))
