--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -215,8 +215,8 @@
 	most int
 	// One that begins a command and does not end it must not hold its place
 	// for ever: it is not idle, and so never makes room for others.
-	// One that says nothing at all would hold a descriptor just so: for a first
-	// command the time counts from connecting.
+	// One that says nothing, or nothing but PING, would hold a descriptor just so:
+	// until it hands in a message the time counts from connecting or its last PING.
 	patience time.Duration
 
 	mu      sync.Mutex
@@ -228,7 +228,7 @@
 type clientConn struct {
 	net.Conn
 	busy int       // requests begun and not answered
-	by   time.Time // for its first command to be whole; zero once that is
+	by   time.Time // for its next proper command; zero where it may take its time
 	idle time.Time
 }
 
@@ -314,13 +314,27 @@
 	cc.SetReadDeadline(by)
 }
 
-// read marks a command read to its end. A connection that has carried one is a
-// client's, and may then stand idle.
+// read marks a command read to its end, sound or not.
 func (c *clients) read(cc *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cc.by = time.Time{}
-	cc.SetReadDeadline(time.Time{})
+	cc.SetReadDeadline(cc.by)
+}
+
+// proper marks a connection that has carried a proper command. One that hands
+// messages in is a client's and may stand idle; a PING buys a little time.
+func (c *clients) proper(cc *clientConn, client bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case client:
+		cc.by = time.Time{}
+	case !cc.by.IsZero():
+		cc.by = time.Now().Add(c.patience)
+	}
+	if cc.busy == 1 && !c.closing { // else the next command is under way, under its own limit
+		cc.SetReadDeadline(cc.by)
+	}
 }
 
 // finish marks a request answered; it reports whether the connection is to be
@@ -393,6 +407,7 @@
 	}
 	switch name := string(bytes.ToUpper(cmd.args[0])); name {
 	case "PING":
+		c.proper(cc, false)
 		if len(cmd.args) > 1 {
 			p := cmd.args[1]
 			return c.write(cc, "$"+strconv.Itoa(len(p))+"\r\n"+string(p)+"\r\n"), nil
@@ -411,6 +426,7 @@
 	if err != nil {
 		return c.write(cc, fault(err)), nil
 	}
+	c.proper(cc, true)
 	c.put(q)
 	var ahead *command
 	var reply string
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -203,8 +203,8 @@
 	}
 }
 
-// Guards the places of clients against peers that connect and say nothing. A
-// client that has spoken once may stand idle.
+// Guards the places of clients against peers that say nothing, nothing proper,
+// or nothing after a PING. One that has handed in a message may stand idle.
 func TestSilentPeer(t *testing.T) {
 	c := newClients(testSet(t), quietLog(), accept, func(*request, bool) {})
 	c.patience = 300 * time.Millisecond
@@ -214,15 +214,26 @@
 	}
 	defer ln.Close()
 	go c.serve(ln)
-	spoken, silent := dialClient(t, ln.Addr().String()), dialClient(t, ln.Addr().String())
-	io.WriteString(spoken, "*1\r\n$4\r\nPING\r\n")
-	spoken.line()
-	if _, err := silent.in.ReadByte(); !errors.Is(err, io.EOF) {
-		t.Errorf("a silent peer: %v", err)
-	}
-	io.WriteString(spoken, "*1\r\n$4\r\nPING\r\n") // idle for longer than the patience
-	if s := spoken.line(); s != "+PONG" {
-		t.Errorf("answer %q", s)
+	client, silent := dialClient(t, ln.Addr().String()), dialClient(t, ln.Addr().String())
+	rude, pinged := dialClient(t, ln.Addr().String()), dialClient(t, ln.Addr().String())
+	if s := client.put("a", fields("plain", 8000, 1), nil); s != "+OK" {
+		t.Errorf("a client: %q", s)
+	}
+	io.WriteString(rude, "*1\r\n$3\r\nGET\r\n")
+	if s := rude.line(); !strings.HasPrefix(s, "-ERR ") {
+		t.Errorf("a rude peer: %q", s)
+	}
+	io.WriteString(pinged, "*1\r\n$4\r\nPING\r\n")
+	if s := pinged.line(); s != "+PONG" {
+		t.Errorf("a PING: %q", s)
+	}
+	for name, peer := range map[string]*testClient{"silent": silent, "rude": rude, "pinged": pinged} {
+		if _, err := peer.in.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if s := client.put("b", fields("plain", 8000, 1), nil); s != "+OK" { // idle for longer than the patience
+		t.Errorf("a client: %q", s)
 	}
 }
 
