Wait for a batch as long as for the unsafe message in it

Only the first message of a call was looked at, so a batch led by an alert-update took its copy-orders with it: they may have run and end as given up.

TestReclaimMixedBatch fails without the change.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -571,7 +571,7 @@
 // work nearly done is done again. An unsafe message, which has no second try, is given longer.
 func (p *Policy) review(c *call) {
 	worn := p.patience(c.ep) + 1
-	if c.msgs[0].class.Repeat == Unsafe {
+	if slices.ContainsFunc(c.msgs, func(m *message) bool { return m.class.Repeat == Unsafe }) {
 		worn *= unsafeWait
 	}
 	if at := max(c.sent, cmp.Or(p.pressed, p.now)) + worn; c.left > 0 && at > p.now {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -491,6 +491,37 @@
 	}
 }
 
+// TestReclaimMixedBatch: a call that an unsafe message shares is waited for as long as one of its own, whatever
+// message leads it: called off, the unsafe one has had its only try.
+func TestReclaimMixedBatch(t *testing.T) {
+	s := one()
+	s.Slots = 1
+	s.Kinds[0].Batch = 2
+	unsafe := s.Classes[0]
+	unsafe.Repeat, unsafe.Worth = Unsafe, 0.5
+	s.Classes = append(s.Classes, unsafe)
+	calledOff := func(class int) Time {
+		r := newRig(t, s, ready(1, 1000))
+		r.step(r.message(0, 0)) // what is usual is known
+		r.now += second / 10
+		r.step(answer(r.sends[0], Delivered))
+		r.now += second
+		r.step(r.message(0, 0), r.message(class, 0), r.message(0, 0))
+		if len(r.sends) != 2 || r.p.calls != 1 || r.p.msgs[r.sends[0].Message].class.Repeat != Safe {
+			t.Fatalf("%d sends in %d calls, want 2 in 1 led by a safe one", len(r.sends), r.p.calls)
+		}
+		for start := r.now; ; r.step() {
+			if count(r.acts, ActCancel) > 0 {
+				return r.now - start
+			}
+			r.now += 5000
+		}
+	}
+	if safe, mixed := calledOff(0), calledOff(1); mixed < 3*safe {
+		t.Errorf("called off after %d ms, with an unsafe message after %d ms", safe/1000, mixed/1000)
+	}
+}
+
 // TestFewerThanHalfFailing: where most calls pass, failures neither make an outage nor undo a ramp.
 func TestFewerThanHalfFailing(t *testing.T) {
 	r := newRig(t, one(), ready(1, 10))
