Answer a message at once when the formula drops it

The design refuses a dropped first try with a time to come again and ends a later one; the module kept it queued for a later draw, to its deadline at the worst, and paused the whole destination.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -621,8 +621,7 @@
 // send there together, which the destination must stand anyway.
 func (p *Policy) depth(l *lane) float64 { return max(1, math.Sqrt(p.capacity(l))) }
 
-// dropped draws by the formula. A drop is counted and spends the lane's token; the message stays held for a
-// later draw.
+// dropped draws by the formula. A drop is counted and spends the lane's token; its message is ended at once.
 func (p *Policy) dropped(l *lane) bool {
 	req, acc := l.hist.totals(p.now)
 	l.hist.request(p.now)
@@ -839,7 +838,7 @@
 	if trial {
 		l.hist.request(p.now) // recovery bounds trial calls harder than the formula would
 	} else if p.dropped(l) {
-		l.pauseUntil = max(l.pauseUntil, p.now+p.usual(d))
+		p.end(d.pick)
 		return
 	}
 	c := &call{ep: ep, sent: p.now}
--- a/decide/state.go
+++ b/decide/state.go
@@ -55,7 +55,7 @@
 	window     float64
 	flying     int
 	waitUntil  Time // told to wait
-	pauseUntil Time // refused without a wait, or a draw was dropped
+	pauseUntil Time // refused without a wait
 	nominal    float64
 	limit      float64
 	boost      float64
