Book an answer that cannot be read as an error, not as a broken connection

An answer that has come on a connection that still stands is now an error: it may have run.

Ruled out: answers that close, slow bodies (none took 5 ms), idle time (no reset). TestOutcomes/garbled_status and TestBatchOutcomes/chunks_garbled fail without.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -111,8 +111,9 @@
 // message is delivered once its first line says so.
 type lineConn struct {
 	net.Conn
-	mu   sync.Mutex
-	line []byte // as far as it has come
+	mu    sync.Mutex
+	line  []byte // as far as it has come
+	ended bool   // nothing more can be read
 }
 
 func (c *lineConn) Write(b []byte) (int, error) {
@@ -126,6 +127,7 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ended = c.ended || err != nil
 	if i := len(c.line); n > 0 && i < answerLine && (i == 0 || c.line[i-1] != '\n') {
 		part := b[:min(n, answerLine-i)]
 		if end := bytes.IndexByte(part, '\n'); end >= 0 {
@@ -136,6 +138,14 @@
 	return n, err
 }
 
+// unreadable reports whether an answer has come and its connection still stands:
+// what was wrong with it is then what it said.
+func (c *lineConn) unreadable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.line) > 0 && !c.ended
+}
+
 // said200 reports whether a whole first line has come, and it says 200.
 func (c *lineConn) said200() bool {
 	c.mu.Lock()
@@ -300,8 +310,9 @@
 	resp, err := conns.RoundTrip(req)
 	o := outcome{took: time.Since(began).Microseconds(), idle: time.Duration(idle.Load())}
 	if err != nil {
-		o.what, o.err = c.failure(ctx, err), err
-		if conn := line.Load(); len(recs) == 1 && conn != nil && c.stage.Load() == callWritten && conn.said200() {
+		conn := line.Load()
+		o.what, o.err = c.failure(ctx, err, conn), err
+		if len(recs) == 1 && conn != nil && c.stage.Load() == callWritten && conn.said200() {
 			o.what, o.settled, o.status = decide.Delivered, true, http.StatusOK
 		}
 		return all(o)
@@ -310,7 +321,7 @@
 	o.status = resp.StatusCode
 	readAnswer(resp, &o, loads)
 	if len(recs) > 1 && o.status == http.StatusOK {
-		return c.readBatch(ctx, resp, o, recs)
+		return c.readBatch(ctx, resp, o, recs, line.Load())
 	}
 	io.Copy(io.Discard, io.LimitReader(resp.Body, answerMost)) // read to the end, it can carry the next call
 	return all(o)
@@ -318,7 +329,7 @@
 
 // readBatch tells the messages of a batch apart by the body of its answer.
 // What that does not tell, or what cannot be read, may have run.
-func (c *call) readBatch(ctx context.Context, resp *http.Response, whole outcome, recs []*record) []outcome {
+func (c *call) readBatch(ctx context.Context, resp *http.Response, whole outcome, recs []*record, conn *lineConn) []outcome {
 	whole.what, whole.settled = decide.Errored, false
 	out := slices.Repeat([]outcome{whole}, len(recs))
 	text, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
@@ -329,7 +340,7 @@
 	if err == nil {
 		err = json.Unmarshal(text, &items)
 	} else {
-		whole.what = c.failure(ctx, err)
+		whole.what = c.failure(ctx, err, conn)
 	}
 	states := map[string]string{}
 	for _, x := range items {
@@ -355,9 +366,9 @@
 	return out
 }
 
-// failure maps a call without an answer. What never ran is claimed only where
+// failure maps a call without an answer, or without a whole one. What never ran is claimed only where
 // it is certain: no connection, or one that broke before the last byte.
-func (c *call) failure(ctx context.Context, err error) decide.Outcome {
+func (c *call) failure(ctx context.Context, err error, conn *lineConn) decide.Outcome {
 	switch stage := c.stage.Load(); {
 	case stage == callStopped:
 		return decide.NotSent
@@ -371,6 +382,8 @@
 		return decide.Cancelled
 	case ctx.Err() != nil:
 		return decide.TimedOut
+	case conn != nil && conn.unreadable():
+		return decide.Errored // the endpoint is there, and its other connections are sound
 	}
 	return decide.Reset
 }
