Weigh a queue once a turn, and only where a call may go

Each event at a destination sorted its queue and worked out pace, drain and worth anew at every comparison, also where window or pace let nothing go.

Ruled out: notices not taken (the messages lost had none due), descriptors (322 of 1024), disk. TestClosedQueueCostsNothing does not compile without the change, which adds the weighed loss.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -240,13 +240,15 @@
 	for p.set.MaxHeld > 0 && len(p.live) > p.set.MaxHeld-max(1, p.set.MaxHeld/heldReserve) {
 		var least *message
 		low := math.Inf(1)
+		for _, d := range p.dests { // the same for all that wait there
+			if d.clearAt = p.opens(d); d.clearAt == math.MaxInt64 { // an answer, not the time, lets it go
+				d.clearAt = p.now
+			}
+			d.clearAt += p.drain(d)
+		}
 		for _, m := range p.live {
 			if p.refusable(m) {
-				at := p.opens(m.dest)
-				if at == math.MaxInt64 { // an answer, not the time, lets it go
-					at = p.now
-				}
-				if v := p.value(m, min(at+p.drain(m.dest), m.deadline)); v < low {
+				if v := p.value(m, min(m.dest.clearAt, m.deadline)); v < low {
 					least, low = m, v
 				}
 			}
@@ -781,14 +783,17 @@
 	if len(d.queue) == 0 {
 		return
 	}
-	slices.SortStableFunc(d.queue, func(a, b *message) int {
-		return cmp.Or(cmp.Compare(p.loss(b), p.loss(a)), cmp.Compare(a.aimAt, b.aimAt))
-	})
-	for _, m := range d.queue {
-		if ep := p.choose(m); ep != nil {
-			d.pick, d.pickAt = m, ep
-			d.pickVal = (p.loss(m) + m.worth/1000) / float64(p.usual(d)+1)
-			return
+	if slices.ContainsFunc(d.lanes, func(l *lane) bool { return p.room(l) && p.paced(l) }) {
+		p.weigh(d)
+		slices.SortStableFunc(d.queue, func(a, b *message) int {
+			return cmp.Or(cmp.Compare(b.loss, a.loss), cmp.Compare(a.aimAt, b.aimAt))
+		})
+		for _, m := range d.queue {
+			if ep := p.choose(m); ep != nil {
+				d.pick, d.pickAt = m, ep
+				d.pickVal = (m.loss + m.worth/1000) / float64(p.usual(d)+1)
+				return
+			}
 		}
 	}
 	if at := p.opens(d); at < math.MaxInt64 && (d.wakeAt <= p.now || at < d.wakeAt) {
@@ -814,8 +819,10 @@
 		}
 	}
 	for _, m := range d.queue {
-		if l := p.lines[m.key]; l != nil && m.class.InOrder && l.rest > p.now {
-			next = min(next, l.rest)
+		if m.class.InOrder {
+			if l := p.lines[m.key]; l != nil && l.rest > p.now {
+				next = min(next, l.rest)
+			}
 		}
 		if m.class.Repeat == Unsafe && m.aimAt >= p.now { // may then try what is out
 			next = min(next, m.aimAt+1)
@@ -824,9 +831,14 @@
 	return next
 }
 
-func (p *Policy) loss(m *message) float64 {
-	soon := p.now + p.usual(m.dest)
-	return p.value(m, soon) - p.value(m, soon+p.drain(m.dest))
+// weigh works out what each message of a queue loses if it waits: once for a sort, since what a queue costs
+// must not grow faster than it does.
+func (p *Policy) weigh(d *dest) {
+	soon := p.now + p.usual(d)
+	late := soon + p.drain(d)
+	for _, m := range d.queue {
+		m.loss = p.value(m, soon) - p.value(m, late)
+	}
 }
 
 // call makes one call with the picked message and what may share it.
--- a/decide/state.go
+++ b/decide/state.go
@@ -42,6 +42,7 @@
 	flying  int
 	touched bool
 	wakeAt  Time // next moment in wakes
+	clearAt Time // when what waits there will have gone, as last looked at
 	pick    *message
 	pickAt  *endpoint
 	pickVal float64
@@ -99,6 +100,7 @@
 	aimAt    Time
 	deadline Time
 	worth    float64
+	loss     float64 // of worth, if it waits: as last weighed
 	over     bool
 	place    int // in Policy.live
 	tries    int
