Call a hung copy-order off once a call sent much later was answered

An unsafe message's call timed out only at its deadline, 12 s. Where calls hang here and there, those of copy-orders fill the window of the destination, and their connections the few that an agent takes: it answers new ones with 503 and closes them, which halves window and pace in turn.

Ruled out: CPU, lost connections of replaced transports, a limit of the partner (its sibling took calls at that time). TestHungUnsafeCall fails without the change.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -480,7 +480,7 @@
 // healthy books a success. In an outage it starts the ramp, if the call left after the last failure.
 func (p *Policy) healthy(ep *endpoint, sent Time) {
 	ep.score *= scoreKeep
-	ep.okAt = p.now
+	ep.okAt, ep.okSent = p.now, max(ep.okSent, sent)
 	if ep.sick && ep.goodAt == 0 && sent >= ep.badAt {
 		ep.goodAt, ep.goodSent = p.now, sent
 		p.logf("dest %d: answers again, ramp", ep.lane.dest.id)
@@ -570,13 +570,19 @@
 // review calls off a call that has been out for its patience while every slot was taken and messages waited
 // for as long: a time-out at the aim is right for a slot that nobody wants, not for the last one. It guards
 // against calls that hang here and there where others are answered, and against many slow ones at once. Harm:
-// work nearly done is done again. An unsafe message, which has no second try, is given longer.
+// work nearly done is done again. An unsafe message, which has no second try, is given longer. It has the
+// longest time-out, so one that hangs is called off without such pressure too, once a call sent as much later
+// was answered: it would hold a place in the window and a connection of few until its deadline.
 func (p *Policy) review(c *call) {
 	worn := p.patience(c.ep) + 1
+	at := max(c.sent, cmp.Or(p.pressed, p.now))
 	if slices.ContainsFunc(c.msgs, func(m *message) bool { return m.class.Repeat == Unsafe }) {
 		worn *= unsafeWait
+		if c.ep.okSent > c.sent+worn { // a pause or a slow spell holds up what was sent later, too
+			at = c.sent
+		}
 	}
-	if at := max(c.sent, cmp.Or(p.pressed, p.now)) + worn; c.left > 0 && at > p.now {
+	if at += worn; c.left > 0 && at > p.now {
 		p.later.add(at, func() { p.review(c) })
 		return
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -573,6 +573,41 @@
 	}
 }
 
+// TestHungUnsafeCall: an unsafe call that hangs where calls sent much later are answered gives its place back
+// before its deadline; where nothing sent later was answered, or only just later, it is waited for.
+func TestHungUnsafeCall(t *testing.T) {
+	s := one()
+	s.Classes[0].Repeat = Unsafe
+	for later, want := range map[Time]bool{0: false, second / 10: false, 5 * second: true} {
+		r := newRig(t, s, ready(1, 1000))
+		r.step(r.message(0, 0)) // what is usual is known, and the window has room for two
+		r.now += second / 10
+		r.step(answer(r.sends[0], Delivered))
+		r.now += second
+		r.step(r.message(0, 0))
+		hung := r.sends[0]
+		if later > 0 {
+			r.now += later
+			r.step(r.message(0, 0))
+			other := r.sends[0]
+			r.now += second / 10
+			r.step(answer(other, Delivered))
+		}
+		var off Time
+		for start := r.now; r.now < start+10*second && off == 0; r.step() {
+			for _, a := range r.acts {
+				if a.Kind == ActCancel && a.Message == hung.Message {
+					off = r.now - start
+				}
+			}
+			r.now += second / 100
+		}
+		if called := off > 0; called != want {
+			t.Errorf("another sent %d ms later: called off %v, after %d ms", later/1000, called, off/1000)
+		}
+	}
+}
+
 // TestFewerThanHalfFailing: where most calls pass, failures neither make an outage nor undo a ramp.
 func TestFewerThanHalfFailing(t *testing.T) {
 	r := newRig(t, one(), ready(1, 10))
--- a/decide/state.go
+++ b/decide/state.go
@@ -85,6 +85,7 @@
 	goodAt    Time // first success since the last failure; 0 for none
 	goodSent  Time
 	okAt      Time
+	okSent    Time // when the newest call that was answered left
 	budget    bucket
 	need      float64 // what the next call takes out of the budget
 	mute      bool    // the last failure was a silence, not an answer
