Close a client connection that was let go just as its request began

To make room the relay releases the connection idle for longest and counts it no longer. Where a request had just begun, that was answered and the connection then stayed open, beyond the descriptors that clients may hold.

TestReleasedAsRequestBegins fails without the change.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -230,11 +230,15 @@
 	busy int       // requests begun and not answered
 	by   time.Time // for its next proper command; zero where it may take its time
 	idle time.Time
+	left bool // released: it ends with the answer to what had begun by then
 }
 
 // release ends the wait for a next request. A connection is closed only so:
 // where a request's first byte has been read by then, it is answered first.
-func (cc *clientConn) release() { cc.SetReadDeadline(time.Unix(1, 0)) }
+func (cc *clientConn) release() {
+	cc.left = true
+	cc.SetReadDeadline(time.Unix(1, 0))
+}
 
 func newClients(cfg *Config, log *slog.Logger, put func(*request), said func(*request, bool)) *clients {
 	most, _ := cfg.budget()
@@ -344,7 +348,7 @@
 	defer c.mu.Unlock()
 	cc.busy--
 	cc.idle = time.Now()
-	return c.closing && cc.busy == 0
+	return (c.closing || cc.left) && cc.busy == 0
 }
 
 type command struct {
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -178,6 +178,21 @@
 	}
 }
 
+// Guards the limit on descriptors: one that was let go just as a request began
+// is answered, and then closed, since it is counted no longer.
+func TestReleasedAsRequestBegins(t *testing.T) {
+	c := newClients(testSet(t), quietLog(), accept, func(*request, bool) {})
+	near, far := net.Pipe()
+	defer far.Close()
+	cc := &clientConn{Conn: near}
+	c.conns[cc] = true
+	c.evict()
+	c.begin(cc)
+	if !c.finish(cc) {
+		t.Error("it stays open and is counted no longer")
+	}
+}
+
 // Guards the places of clients against those that begin a command and never
 // end it. One that waits between commands, or for its answer, is left alone.
 func TestHalfACommand(t *testing.T) {
