Heed a wait that comes with any outcome, as the answer to a batch may tell

The protocol lets the answer to a batch hold a wait that binds like a refusal's; the policy took one only with a message that was turned away, so an answer that accepts all and tells a wait was not heeded: a broken rule.

TestWaitWithAnyOutcome fails without the change.

--- a/decide/api.go
+++ b/decide/api.go
@@ -228,7 +228,7 @@
 	Token    uint64
 	Left     Time // EvMessage: how long it may still be delivered
 	Work     Time // EvMessage: a guess of its cost; 0 for none
-	Wait     Time // EvOutcome, Full: how long to wait; 0 when none is told
+	Wait     Time // EvOutcome: how long to wait; 0 when none is told
 	Took     Time
 	Load     Load
 	Entries  []Entry
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -391,7 +391,7 @@
 		c.noted = true
 		p.observe(c, e)
 	}
-	if e.Outcome == Full && e.Wait > 0 {
+	if e.Wait > 0 { // with whatever outcome: the answer to a batch may tell one too
 		c.ep.lane.waitUntil = max(c.ep.lane.waitUntil, p.now+e.Wait)
 		for _, x := range c.ep.lane.eps { // what is saved up while it is closed would go at once
 			x.budget.tokens, x.budget.at = 0, c.ep.lane.waitUntil
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -573,6 +573,26 @@
 	}
 }
 
+// TestWaitWithAnyOutcome: a wait binds whatever became of the message whose answer told it.
+func TestWaitWithAnyOutcome(t *testing.T) {
+	for _, o := range []Outcome{Delivered, Full, Errored} {
+		r := newRig(t, one(), ready(1, 1000))
+		r.step(r.message(0, 0))
+		e := answer(r.sends[0], o)
+		e.Wait = second
+		r.now += second / 10
+		told := r.now
+		r.step(e, r.message(0, 0))
+		for len(r.sends) == 0 && r.now < told+10*second {
+			r.now += second / 100
+			r.step()
+		}
+		if r.now < told+second || len(r.sends) == 0 {
+			t.Errorf("outcome %v: sent %d ms after the word of a wait of 1000", o, (r.now-told)/1000)
+		}
+	}
+}
+
 // TestHungUnsafeCall: an unsafe call that hangs where calls sent much later are answered gives its place back
 // before its deadline; where nothing sent later was answered, or only just later, it is waited for.
 func TestHungUnsafeCall(t *testing.T) {
