--- a/decide/decide.go
+++ b/decide/decide.go
@@ -593,6 +593,16 @@
 	}
 }
 
+// Avoided reports whether an endpoint on the list gets nothing now but trial calls at most: it drains, fails,
+// rests after a failure, or told this relay to wait.
+func (p *Policy) Avoided(id Endpoint, now Time) bool {
+	ep := p.eps[id]
+	if ep == nil || ep.lane.waitUntil > now || ep.state != Ready {
+		return true
+	}
+	return ep.sick && ep.goodAt == 0 || !ep.sick && ep.restUntil > now
+}
+
 // spend takes a call out of the budget. Where a part is less than one call relays must not act in step: each
 // then needs a random amount with the same mean.
 func (p *Policy) spend(ep *endpoint) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -829,3 +829,29 @@
 		}
 	}
 }
+
+// TestAvoided: an endpoint counts as avoided while it drains, told this relay to wait, or is seen failing,
+// and no longer once that is over.
+func TestAvoided(t *testing.T) {
+	s := one()
+	r := newRig(t, s, ready(1, 1000), Entry{Endpoint: 2, Dest: 1, State: Draining})
+	if r.p.Avoided(1, r.now) || !r.p.Avoided(2, r.now) || !r.p.Avoided(3, r.now) {
+		t.Errorf("at the start: ready %v, draining %v, unknown %v", r.p.Avoided(1, r.now), r.p.Avoided(2, r.now), r.p.Avoided(3, r.now))
+	}
+	r.step(r.message(0, 0))
+	r.step(Event{Kind: EvOutcome, Message: r.sends[0].Message, Endpoint: 1, Outcome: Full, Wait: second})
+	if !r.p.Avoided(1, r.now) || r.p.Avoided(1, r.now+2*second) {
+		t.Error("a told wait")
+	}
+	r = newRig(t, s, ready(1, 1000))
+	for range 40 {
+		r.now += second / 4
+		r.step(r.message(0, 0))
+		for _, a := range r.sends {
+			r.step(answer(a, Errored))
+		}
+	}
+	if !r.p.Avoided(1, r.now) {
+		t.Error("seen failing")
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -29,6 +29,7 @@
 	Listen    string
 	Discovery string
 	State     string // the folder that outlasts the process
+	Operator  string // where the staff's calls come in; empty for nowhere
 	Seed      uint64
 	Limits    Limits
 	Known     *List // the list as this relay last had it, maybe old
@@ -95,6 +96,7 @@
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
 		State     string          `json:"state"`
+		Operator  string          `json:"operator"`
 		Seed      json.RawMessage `json:"seed"`
 		Limits    Limits          `json:"limits"`
 		Known     *List           `json:"known"`
@@ -120,7 +122,13 @@
 			return nil, fmt.Errorf("config: %s: missing, and %s is not set", v.key, v.env)
 		}
 	}
-	for key, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	if c.Operator = f.Operator; getenv("ROUTER_OPERATOR") != "" {
+		c.Operator = getenv("ROUTER_OPERATOR")
+	}
+	for key, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "operator": c.Operator} {
+		if key == "operator" && addr == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("config: %s: %w", key, err)
 		}
@@ -229,9 +237,17 @@
 // needs one each, so the endpoints' part is never under the slots as long as
 // the clients keep half.
 func (c *Config) budget() (clients, endpoints int) {
-	free := c.Limits.Sockets - ownSockets
+	free := c.Limits.Sockets - ownSockets - c.operatorConns()
 	endpoints = min(max(free/4, c.Policy.Slots+8), free/2)
 	return free - endpoints, endpoints
 }
 
+// operatorConns is how many connections the operator address may hold.
+func (c *Config) operatorConns() int {
+	if c.Operator == "" {
+		return 0
+	}
+	return min(operatorConns, c.Limits.Sockets/8)
+}
+
 func (c *Config) keyed(class int) bool { return c.Policy.Classes[class].Repeat == decide.Keyed }
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -42,6 +42,7 @@
 	zone     int
 	batch    int // messages that one call there may carry
 	hostPort string
+	listed   bool // discovery names it
 	gone     bool // drained or removed: nothing new goes there
 	goneAt   decide.Time
 	answerAt decide.Time // when it last answered at all
@@ -185,6 +186,7 @@
 	broken atomic.Bool // the connection broke before the last byte was written
 	ctx    context.Context
 	stop   context.CancelCauseFunc
+	wrote  func() // its last byte is out; may be nil
 }
 
 // outcome is what became of a call or a probe.
@@ -299,7 +301,9 @@
 				c.broken.Store(true)
 				return
 			}
-			c.stage.CompareAndSwap(callSending, callWritten)
+			if c.stage.CompareAndSwap(callSending, callWritten) && c.wrote != nil {
+				c.wrote()
+			}
 		},
 	})
 	all := func(o outcome) []outcome { return slices.Repeat([]outcome{o}, len(recs)) }
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -261,15 +261,21 @@
 	return Member{ID: id, HostPort: e.addr(), Locality: "a", Flavor: "k", Cell: cell, Phase: phaseUp, Size: 1000}
 }
 
-// testConfig writes a configuration and returns the environment that names it.
-func testConfig(t *testing.T, d *fakeDiscovery, diskMB int) map[string]string {
+// freeAddr is an address with a free port; it is let go at once.
+func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port; it is let go at once
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen := ln.Addr().String()
-	ln.Close()
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// testConfig writes a configuration and returns the environment that names it.
+func testConfig(t *testing.T, d *fakeDiscovery, diskMB int) map[string]string {
+	t.Helper()
+	listen := freeAddr(t)
 	dir := t.TempDir()
 	state := filepath.Join(dir, "state")
 	if err := os.Mkdir(state, 0o700); err != nil {
@@ -314,7 +320,7 @@
 	go w.run(stop)
 	r := &Relay{cfg: cfg, log: quietLog(), policy: policy, in: newMailbox[happening](), began: time.Now(), wal: w,
 		ctx: t.Context(), msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
-		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, idleConns: 2}
+		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, idleConns: 2, fig: newFigures(cfg.Policy.Classes)}
 	t.Cleanup(func() { close(stop); <-w.done })
 	return r
 }
--- /dev/null
+++ b/internal/relay/figures.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"sync/atomic"
+
+	"troutusher/decide"
+)
+
+// figures are what the operators are shown. Counts start at 0 with the process
+// and are raised at the one place where the fact happens; gauges are as the
+// loop last published them. All may be read at any time, by anyone.
+type figures struct {
+	lanes []laneFigures // by class, as in the settings
+	// Gauges.
+	pending     atomic.Int64
+	members     atomic.Int64
+	unavailable atomic.Int64
+}
+
+type laneFigures struct {
+	name                                  string
+	completed, rejected, failed, upstream atomic.Int64
+}
+
+func newFigures(classes []decide.Class) *figures {
+	f := &figures{lanes: make([]laneFigures, len(classes))}
+	for i := range classes {
+		f.lanes[i].name = classes[i].Name
+	}
+	return f
+}
+
+// ended counts the end of a message that was not delivered. One of a class that
+// the settings no longer name has no lane.
+func (f *figures) ended(class int, word string) {
+	if class < 0 {
+		return
+	}
+	if word == endHandedBack {
+		f.lanes[class].rejected.Add(1)
+	} else {
+		f.lanes[class].failed.Add(1)
+	}
+}
+
+func (f *figures) delivered(class int) {
+	if class >= 0 {
+		f.lanes[class].completed.Add(1)
+	}
+}
+
+// written counts a message whose call has gone out whole.
+func (f *figures) written(class int) {
+	if class >= 0 {
+		f.lanes[class].upstream.Add(1)
+	}
+}
+
+// text writes the figures in the Prometheus text format.
+func (f *figures) text() []byte {
+	var b bytes.Buffer
+	counts := []struct {
+		name, help string
+		of         func(*laneFigures) *atomic.Int64
+	}{
+		{"app_completed", "Messages delivered.", func(l *laneFigures) *atomic.Int64 { return &l.completed }},
+		{"app_rejected", "Messages refused or handed back.", func(l *laneFigures) *atomic.Int64 { return &l.rejected }},
+		{"app_failed", "Messages failed.", func(l *laneFigures) *atomic.Int64 { return &l.failed }},
+		{"app_upstream_requests", "Messages written whole to endpoints.", func(l *laneFigures) *atomic.Int64 { return &l.upstream }},
+	}
+	for _, c := range counts {
+		fmt.Fprintf(&b, "# HELP %s %s\n# TYPE %s counter\n", c.name, c.help, c.name)
+		for i := range f.lanes {
+			l := &f.lanes[i]
+			fmt.Fprintf(&b, "%s{lane=%s} %d\n", c.name, strconv.Quote(l.name), c.of(l).Load())
+		}
+	}
+	for _, g := range []struct {
+		name, help string
+		v          *atomic.Int64
+	}{
+		{"app_pending", "Messages taken and not ended.", &f.pending},
+		{"app_members", "Endpoints on the list.", &f.members},
+		{"app_members_unavailable", "Endpoints on the list that the relay avoids now.", &f.unavailable},
+	} {
+		fmt.Fprintf(&b, "# HELP %s %s\n# TYPE %s gauge\n%s %d\n", g.name, g.help, g.name, g.name, g.v.Load())
+	}
+	return b.Bytes()
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"troutusher/decide"
@@ -23,6 +24,8 @@
 	stopCalls  = 3300 * time.Millisecond // what is out by then stays open in the log
 	stopRetry  = 400                     // ms after which a client may come again, to another relay
 	firstList  = 1500 * time.Millisecond // how long the start waits for discovery
+	showEvery  = 250 * time.Millisecond  // gauges are this old at most
+	showLeast  = decide.Time(100e3)      // and are worked out no more often than this
 	forgetGone = decide.Time(600e6)      // how long an endpoint that left is remembered
 	clockStart = decide.Time(3600e6)     // of the policy's clock: sends of an earlier process lie before it
 )
@@ -31,6 +34,7 @@
 // it is over and its last call is back.
 type message struct {
 	num     uint32
+	class   int // its place in the settings; -1 where they name it no longer
 	rec     *record
 	req     *request // until it is answered
 	heard   bool     // its client knows that it is taken on
@@ -105,6 +109,8 @@
 	stopAt    time.Time
 	idleConns int
 	idle      idleWatch // of all endpoints together
+	fig       *figures
+	shownAt   decide.Time // when the gauges were last published
 	ctx       context.Context
 }
 
@@ -129,6 +135,15 @@
 	r := &Relay{cfg: cfg, log: log, policy: policy, in: newMailbox[happening](), began: time.Now(), ctx: ctx,
 		msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
 		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}}
+	r.fig = newFigures(cfg.Policy.Classes)
+	ready := &atomic.Bool{}
+	if cfg.Operator != "" {
+		op, err := startOperator(cfg, log, r.fig, ready)
+		if err != nil {
+			return err
+		}
+		defer op.close()
+	}
 	_, conns := cfg.budget()
 	r.idleConns = max(2, (conns-cfg.Policy.Slots)/40)
 	wal, owed, err := openWAL(cfg.State, int64(cfg.Limits.DiskMB)<<20, log)
@@ -173,6 +188,8 @@
 		<-stop
 		r.in.put(happening{stop: true})
 	}()
+	r.show()
+	ready.Store(true)
 	log.Info("ready", "name", cfg.Name, "listen", ln.Addr().String(), "endpoints", len(r.endpoints), "owed", len(owed))
 	r.loop(ln, cl)
 	return nil
@@ -239,7 +256,7 @@
 
 func (r *Relay) newMessage(rec *record) *message {
 	r.lastNum++
-	m := &message{num: r.lastNum, rec: rec}
+	m := &message{num: r.lastNum, rec: rec, class: place(r.cfg.classes, rec.Class)}
 	r.msgs[m.num], r.ids[rec.ID] = m, m
 	r.held++
 	return m
@@ -260,6 +277,9 @@
 		if !r.stopAt.IsZero() {
 			wait = min(wait, 20*time.Millisecond)
 		}
+		if r.cfg.Operator != "" { // what is avoided changes by time alone, too
+			wait = min(wait, showEvery)
+		}
 		timer.Reset(max(wait, 0))
 		select {
 		case <-r.in.ready:
@@ -281,6 +301,9 @@
 		if len(r.events) > 0 {
 			r.step()
 		}
+		if r.cfg.Operator != "" && r.now()-r.shownAt >= showLeast {
+			r.show()
+		}
 		if r.stopAt.IsZero() {
 			continue
 		}
@@ -342,7 +365,7 @@
 func (r *Relay) admit(q *request) {
 	switch old := r.ids[q.rec.ID]; {
 	case !r.stopAt.IsZero():
-		q.answer(busy(stopRetry))
+		r.turnAway(q, stopRetry)
 		return
 	case old != nil && old.heard: // it is ours already
 		q.answer(replyOK)
@@ -351,7 +374,7 @@
 		q.answer(fault(errors.New("id is being handed in already")))
 		return
 	case r.cfg.Policy.MaxHeld > 0 && r.held >= r.cfg.Policy.MaxHeld:
-		q.answer(busy(0))
+		r.turnAway(q, 0)
 		return
 	}
 	m := r.newMessage(q.rec)
@@ -388,7 +411,13 @@
 		delete(r.waiting, q)
 		r.withdraw(m)
 	}
-	q.answer(busy(0))
+	r.turnAway(q, 0)
+}
+
+// turnAway refuses what was never taken on.
+func (r *Relay) turnAway(q *request, ms int64) {
+	r.fig.ended(q.class, endHandedBack)
+	q.answer(busy(ms))
 }
 
 // withdraw: nobody wants the message any more, and nobody was told it is ours.
@@ -441,6 +470,7 @@
 	if kind != decide.ListChange {
 		for id, ep := range r.endpoints {
 			if !seen[id] {
+				ep.listed = false
 				r.leave(ep)
 			}
 		}
@@ -467,6 +497,7 @@
 		ep.conns = newConns(&r.cfg.Policy, r.idleConns, keepIdle(&r.cfg.Policy))
 		ep.hostPort, ep.cell = x.HostPort, x.Cell
 	}
+	ep.listed = x.Phase != phaseRemoved
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.cfg.zones, x.Locality), Kind: place(r.cfg.kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
 	ep.zone, ep.batch = entry.Zone, 1
@@ -500,6 +531,24 @@
 	}
 }
 
+// show publishes the gauges.
+func (r *Relay) show() {
+	r.shownAt = r.now()
+	members, avoided := 0, 0
+	for _, ep := range r.endpoints {
+		if !ep.listed {
+			continue
+		}
+		members++
+		if ep.gone || r.policy.Avoided(ep.num, r.shownAt) {
+			avoided++
+		}
+	}
+	r.fig.members.Store(int64(members))
+	r.fig.unavailable.Store(int64(avoided))
+	r.fig.pending.Store(int64(r.held))
+}
+
 func place(at map[string]int, name string) int {
 	if i, ok := at[name]; ok {
 		return i
@@ -566,6 +615,7 @@
 		return
 	}
 	m.over = true
+	r.fig.ended(m.class, word)
 	ms := (a.After + 999) / 1000
 	if q := m.req; q != nil { // not taken on: the client hears it at once
 		m.req = nil
@@ -713,6 +763,11 @@
 	var place []int    // its place in the call
 	begin := func() {
 		if len(recs) > 0 {
+			c.wrote = func() {
+				for _, i := range place {
+					r.fig.written(c.parts[i].m.class)
+				}
+			}
 			for i, o := range c.run(c.conns, addr, recs, limit, r.cfg.loads) {
 				results[place[i]] = o
 			}
@@ -778,6 +833,9 @@
 		r.wal.submit(&record{Kind: recOutcome, ID: m.rec.ID, Ran: !o.what.NeverRan()}, nil)
 	}
 	if o.settled && !m.over {
+		if o.what == decide.Delivered {
+			r.fig.delivered(m.class)
+		}
 		m.over = true
 		r.drop(m)
 		return
--- /dev/null
+++ b/internal/relay/operator.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// The operator address: what the staff, or their tools, ask of one relay. It is
+// apart from the clients, and from the loop: it reads what the loop has
+// published, so that it answers at once whatever the relay is busy with.
+
+const (
+	operatorConns = 32      // at once, where there are descriptors enough
+	operatorBody  = 4 << 10 // bytes of a body that are read past; no call has one
+	operatorWait  = 2 * time.Second
+)
+
+// operator serves the operator address.
+type operator struct {
+	addr  string // where it listens
+	log   *slog.Logger
+	fig   *figures
+	ready *atomic.Bool // this process can serve
+	most  int          // connections at once
+	srv   *http.Server
+
+	mu    sync.Mutex
+	conns map[net.Conn]*operatorConn
+}
+
+type operatorConn struct {
+	at    time.Time
+	whole bool // its call has come
+}
+
+// startOperator listens at addr. The caller closes it.
+func startOperator(cfg *Config, log *slog.Logger, fig *figures, ready *atomic.Bool) (*operator, error) {
+	ln, err := net.Listen("tcp", cfg.Operator)
+	if err != nil {
+		return nil, fmt.Errorf("operator: %w", err)
+	}
+	o := &operator{addr: ln.Addr().String(), log: log, fig: fig, ready: ready, most: cfg.operatorConns(), conns: map[net.Conn]*operatorConn{}}
+	o.srv = &http.Server{Handler: o.routes(), ReadHeaderTimeout: operatorWait, ReadTimeout: operatorWait,
+		WriteTimeout: operatorWait, IdleTimeout: operatorWait, MaxHeaderBytes: 8 << 10, ConnState: o.track,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, operatorConnKey{}, c)
+		},
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	o.srv.SetKeepAlivesEnabled(false) // one call a connection
+	go func() {
+		if err := o.srv.Serve(ln); err != http.ErrServerClosed {
+			log.Error("operator: no longer served", "err", err)
+		}
+	}()
+	log.Info("operator address", "listen", o.addr)
+	return o, nil
+}
+
+func (o *operator) close() { o.srv.Close() }
+
+// routes are the calls; ServeMux answers 404 and 405 to all others.
+func (o *operator) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/readyz", o.whole(func(w http.ResponseWriter) {
+		if !o.ready.Load() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ready\n")
+	}))
+	mux.HandleFunc("GET /v1/metrics", o.whole(func(w http.ResponseWriter) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		w.Write(o.fig.text())
+	}))
+	return mux
+}
+
+type operatorConnKey struct{}
+
+// whole has a call act only once all of it has come: one that breaks off in
+// its body must not drain a relay.
+func (o *operator) whole(do func(http.ResponseWriter)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, operatorBody)); err != nil {
+			http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		if conn, ok := r.Context().Value(operatorConnKey{}).(net.Conn); ok {
+			o.mu.Lock()
+			if c := o.conns[conn]; c != nil {
+				c.whole = true
+			}
+			o.mu.Unlock()
+		}
+		do(w)
+	}
+}
+
+// track bounds the connections. A new one takes the place of the oldest that
+// has not sent its whole call: a caller that holds on and says nothing shuts
+// nobody out.
+func (o *operator) track(conn net.Conn, state http.ConnState) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		if len(o.conns) >= o.most {
+			var oldest net.Conn
+			for c, x := range o.conns {
+				y := o.conns[oldest]
+				if y == nil || y.whole && !x.whole || y.whole == x.whole && x.at.Before(y.at) {
+					oldest = c
+				}
+			}
+			delete(o.conns, oldest)
+			oldest.Close()
+		}
+		o.conns[conn] = &operatorConn{at: time.Now()}
+	case http.StateClosed:
+		delete(o.conns, conn)
+	}
+}
--- /dev/null
+++ b/internal/relay/operator_test.go
@@ -0,0 +1,145 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"troutusher/decide"
+)
+
+// serveOperator runs the operator address alone.
+func serveOperator(t *testing.T) (*operator, *atomic.Bool) {
+	t.Helper()
+	ready := &atomic.Bool{}
+	o, err := startOperator(&Config{Operator: "127.0.0.1:0", Limits: Limits{Sockets: 1024}}, quietLog(),
+		newFigures([]decide.Class{{Name: "plain"}, {Name: "once"}}), ready)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(o.close)
+	return o, ready
+}
+
+// operatorCall makes a call as it is written, and gives its status and body.
+func operatorCall(t *testing.T, addr, method, path string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+addr+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(text)
+}
+
+func TestOperatorCalls(t *testing.T) {
+	o, ready := serveOperator(t)
+	for _, x := range []struct {
+		method, path string
+		want         int
+	}{
+		{"GET", "/v1/readyz", 503}, {"GET", "/v1/metrics", 200}, {"POST", "/v1/metrics", 405}, {"GET", "/", 404}, {"GET", "/v1/other", 404},
+	} {
+		if got, text := operatorCall(t, o.addr, x.method, x.path); got != x.want {
+			t.Errorf("%s %s: %d %s, want %d", x.method, x.path, got, text, x.want)
+		}
+	}
+	ready.Store(true)
+	if got, _ := operatorCall(t, o.addr, "GET", "/v1/readyz"); got != 200 {
+		t.Errorf("readyz of a ready relay: %d", got)
+	}
+}
+
+// Guards against callers that hold on: more of them than there is room for do
+// not keep a whole call from its answer.
+func TestOperatorSlowCallers(t *testing.T) {
+	o, _ := serveOperator(t)
+	for i := range 2 * operatorConns {
+		conn, err := net.Dial("tcp", o.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, []string{"", "GET /v1/metr", "GET /v1/metrics HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab"}[i%3])
+	}
+	if got, _ := operatorCall(t, o.addr, "GET", "/v1/metrics"); got != 200 {
+		t.Errorf("metrics: %d", got)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.conns) > operatorConns {
+		t.Errorf("%d connections are held", len(o.conns))
+	}
+}
+
+// Guards the form of the figures, and that every class is there from the start.
+func TestFiguresText(t *testing.T) {
+	f := newFigures([]decide.Class{{Name: "plain"}, {Name: "once"}})
+	f.delivered(1)
+	f.written(1)
+	f.ended(0, endHandedBack)
+	f.ended(1, endGivenUp)
+	f.ended(-1, endGivenUp) // of a class that is no more
+	f.pending.Store(14)
+	text := string(f.text())
+	for _, want := range []string{`app_completed{lane="plain"} 0`, `app_completed{lane="once"} 1`, `app_rejected{lane="plain"} 1`,
+		`app_failed{lane="once"} 1`, `app_failed{lane="plain"} 0`, `app_upstream_requests{lane="once"} 1`, "app_pending 14",
+		"app_members 0", "app_members_unavailable 0"} {
+		if !strings.Contains(text, "\n"+want+"\n") {
+			t.Errorf("no line %s", want)
+		}
+	}
+	line := regexp.MustCompile(`^(# (HELP|TYPE) app_[a-z_]+ .+|app_[a-z_]+(\{lane="[^"]+"\})? \d+)$`)
+	for s := bufio.NewScanner(strings.NewReader(text)); s.Scan(); {
+		if !line.MatchString(s.Text()) {
+			t.Errorf("line %q", s.Text())
+		}
+	}
+}
+
+// Guards each count: it is raised once, by the message's one end or its call.
+func TestFiguresCount(t *testing.T) {
+	done, broken := newFakeEndpoint(t, nil), newFakeEndpoint(t, status(http.StatusInternalServerError))
+	drains := done.member("s-3", 3)
+	drains.Phase = phaseDraining
+	env := testConfig(t, newFakeDiscovery(t, done.member("s-1", 1), broken.member("s-2", 2), drains), 3)
+	env["ROUTER_OPERATOR"] = freeAddr(t)
+	startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for i, f := range []string{fields("once", 20000, 1), fields("keyed", 20000, 1), fields("once", 20000, 2), fields("plain", 20000, 9)} {
+		if s := cl.put(fmt.Sprintf("m%d", i), f, nil); s != "+OK" {
+			t.Fatal(s)
+		}
+	}
+	cl.put("late", fields("plain", 0, 1), nil) // refused at once
+	want := []string{`app_completed{lane="once"} 1`, `app_completed{lane="keyed"} 1`, `app_completed{lane="plain"} 0`,
+		`app_rejected{lane="plain"} 1`, `app_failed{lane="once"} 1`, `app_failed{lane="plain"} 0`,
+		`app_upstream_requests{lane="once"} 2`, `app_upstream_requests{lane="keyed"} 1`, `app_upstream_requests{lane="plain"} 0`,
+		"app_pending 1", "app_members 3"}
+	waitFor(t, "the figures", func() bool {
+		_, text := operatorCall(t, env["ROUTER_OPERATOR"], "GET", "/v1/metrics")
+		for _, w := range want {
+			if !strings.Contains(text, "\n"+w+"\n") {
+				return false
+			}
+		}
+		return true
+	})
+	if got, _ := operatorCall(t, env["ROUTER_OPERATOR"], "GET", "/v1/readyz"); got != 200 {
+		t.Errorf("readyz: %d", got)
+	}
+}
