--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -844,11 +844,16 @@
 		t.Error("a told wait")
 	}
 	r = newRig(t, s, ready(1, 1000))
-	for range 40 {
-		r.now += second / 4
-		r.step(r.message(0, 0))
-		for _, a := range r.sends {
-			r.step(answer(a, Errored))
+	r.step(r.message(0, 0))
+	for range 10 { // its one message goes out again and again
+		for len(r.sends) == 0 {
+			r.now += second / 4
+			r.step(Event{Kind: EvTimer})
+		}
+		a := r.sends[0]
+		a.Attempt = r.p.msgs[a.Message].tries - 1
+		if r.step(answer(a, Errored)); r.p.eps[1].sick {
+			break
 		}
 	}
 	if !r.p.Avoided(1, r.now) {
