Leave the watch alone on a SIGHUP that names the same discovery address

Each such signal ended the watch and began a new one; a change said in between had to come again. Seen as a test that failed once in some runs under -race.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -120,10 +120,14 @@
 	return ctx, cancel, a.addr
 }
 
-// move has the next turn go to addr, and the present one end.
+// move has the next turn go to addr, and the present one end. A move to where
+// it is already leaves the watch alone.
 func (a *agent) move(addr string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if addr == a.addr {
+		return
+	}
 	a.addr = addr
 	if a.left != nil {
 		a.left()
