--- a/decide/api.go
+++ b/decide/api.go
@@ -153,6 +153,8 @@
 	EvWithdraw                  // nobody wants the message any more: Message
 	EvTimer                     // a timer has come: Token
 	EvProbed                    // a probe was answered: Endpoint, Outcome, Took, Load
+	EvDrain                     // the operators have the relay emptied of clients
+	EvActivate                  // the operators have it take clients again
 )
 
 // ListNews says what an EvList holds.
@@ -255,6 +257,9 @@
 	ActWatch                     // subscribe to list changes
 	ActFetch                     // ask once for the whole list
 	ActLog                       // Text
+	ActSayNo                     // tell clients that ask that this relay takes no new connections
+	ActRelease                   // close clients' connections, each between requests
+	ActSayYes                    // take clients again
 	numActions                   // count of the kinds
 )
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,8 @@
 	heldReserve = 16   // one part in so many of the room is kept free
 	noConnTight = 0.05 // share of calls without a connection above which connections are taken to run out
 	tightSpan   = 20   // calls over which that share is told
+
+	drainHeed = 6 * second / 10 // from the first no until connections are closed: word of it takes a while
 )
 
 // New makes a policy from its settings; the seed feeds all its draws.
@@ -66,6 +68,10 @@
 			p.admit(e)
 		case EvOutcome:
 			p.outcome(e)
+		case EvDrain:
+			p.drainOff()
+		case EvActivate:
+			p.activate()
 		case EvBegun, EvWithdraw:
 			m := p.msgs[e.Message]
 			if m != nil && (e.Kind == EvWithdraw || m.call != nil && e.Attempt == m.tries-1) {
@@ -920,6 +926,31 @@
 	return min(last, p.now+Time(span))
 }
 
+// ---- drain
+
+// drainOff empties the relay of its clients. What is held, or still handed in, is delivered as ever: the
+// process goes on, and its clients were told that the messages are ours.
+func (p *Policy) drainOff() {
+	if p.drained > 0 {
+		return
+	}
+	since := p.now
+	p.drained = since
+	p.act(Action{Kind: ActSayNo})
+	p.later.add(since+drainHeed, func() {
+		if p.drained == since { // not undone meanwhile
+			p.act(Action{Kind: ActRelease})
+		}
+	})
+}
+
+func (p *Policy) activate() {
+	if p.drained > 0 {
+		p.drained = 0
+		p.act(Action{Kind: ActSayYes})
+	}
+}
+
 // ---- timers
 
 // arm asks for one timer at the next moment at which something may change by itself.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -860,3 +860,29 @@
 		t.Error("seen failing")
 	}
 }
+
+// TestDrain: the no comes at once and the release later, once however often it is asked; an end of the drain
+// before the release calls it off, and what is held goes out all the while.
+func TestDrain(t *testing.T) {
+	r := newRig(t, one(), ready(1, 1000))
+	if a := r.step(Event{Kind: EvDrain}, Event{Kind: EvDrain}); count(a, ActSayNo) != 1 || count(a, ActRelease) != 0 {
+		t.Errorf("at once: %+v", a)
+	}
+	r.now += drainHeed / 2
+	if a := r.step(r.message(0, 0)); count(a, ActSend) != 1 || count(a, ActRelease) != 0 {
+		t.Errorf("before the release: %+v", a)
+	}
+	r.now += drainHeed/2 + 1
+	if a := r.step(Event{Kind: EvTimer}); count(a, ActRelease) != 1 {
+		t.Errorf("then: %+v", a)
+	}
+	if a := r.step(Event{Kind: EvActivate}, Event{Kind: EvActivate}); count(a, ActSayYes) != 1 {
+		t.Errorf("taken back: %+v", a)
+	}
+	r.step(Event{Kind: EvDrain})
+	r.step(Event{Kind: EvActivate})
+	r.now += 2 * drainHeed
+	if a := r.step(Event{Kind: EvTimer}); count(a, ActRelease) != 0 {
+		t.Errorf("a release that was called off: %+v", a)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -30,6 +30,7 @@
 	tight   []float64 // share of calls that found no connection, by kind of destination
 	lat     latency   // of all answers
 	pressed Time      // since when messages wait and every slot is taken; 0 for not
+	drained Time      // since when the operators have it emptied; 0 for not
 }
 
 // dest is a destination: a queue, and a lane for each thing that limits it.
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -8,9 +8,11 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -26,11 +28,14 @@
 	writeWait  = 2 * time.Second
 	wholeWait  = 2500 * time.Millisecond // for a whole command: such peers are owed a close within 3 s
 	lingerWait = 200 * time.Millisecond
+	lateWait   = 400 * time.Millisecond // clients themselves wait no longer for an answer
 )
 
 // errTooLong is a command that was read past: the connection is still in step.
 var errTooLong = errors.New("argument too long")
 
+var errDraining = errors.New("draining")
+
 // readCommand reads one command. An error other than errTooLong means that
 // the connection is of no more use.
 func readCommand(r *bufio.Reader) ([][]byte, error) {
@@ -222,6 +227,7 @@
 	mu      sync.Mutex
 	conns   map[*clientConn]bool
 	closing bool
+	refused bool // PING says no
 	wg      sync.WaitGroup
 }
 
@@ -306,6 +312,23 @@
 	}
 }
 
+// refuse has PING say no, or yes again. After a yes connections are kept as
+// before; those that were released by then still end.
+func (c *clients) refuse(no bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = no
+	if !no {
+		c.closing = false
+	}
+}
+
+func (c *clients) refuses() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
 // begin marks a request whose first byte has come.
 func (c *clients) begin(cc *clientConn) {
 	c.mu.Lock()
@@ -318,6 +341,37 @@
 	cc.SetReadDeadline(by)
 }
 
+// unread reports whether something has come that was not read: the end of a
+// wait and the first byte of a request may fall together.
+func unread(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
+// hear gives a connection whose wait is over a little time, so that what has
+// come is read.
+func (c *clients) hear(cc *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	late := time.Now().Add(lateWait)
+	if !cc.by.IsZero() {
+		cc.by = late
+	}
+	cc.SetReadDeadline(late)
+}
+
 // read marks a command read to its end, sound or not.
 func (c *clients) read(cc *clientConn) {
 	c.mu.Lock()
@@ -368,6 +422,10 @@
 		in := bufio.NewReader(cc)
 		for {
 			if _, err := in.Peek(1); err != nil {
+				if errors.Is(err, os.ErrDeadlineExceeded) && unread(cc.Conn) {
+					c.hear(cc)
+					continue
+				}
 				return
 			}
 			c.begin(cc)
@@ -412,6 +470,9 @@
 	switch name := string(bytes.ToUpper(cmd.args[0])); name {
 	case "PING":
 		c.proper(cc, false)
+		if c.refuses() {
+			return c.write(cc, fault(errDraining)), nil
+		}
 		if len(cmd.args) > 1 {
 			p := cmd.args[1]
 			return c.write(cc, "$"+strconv.Itoa(len(p))+"\r\n"+string(p)+"\r\n"), nil
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -193,6 +193,34 @@
 	}
 }
 
+// Guards against closing unheard: what has come when the wait for a next
+// request ends is answered first, and the connection is closed only then.
+func TestReleasedUnheard(t *testing.T) {
+	c := newClients(testSet(t), quietLog(), accept, func(*request, bool) {})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	cl := dialClient(t, ln.Addr().String())
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cc := &clientConn{Conn: conn}
+	c.conns[cc] = true
+	io.WriteString(cl, putText("m", fields("plain", 8000, 1), nil))
+	waitFor(t, "the request", func() bool { return unread(conn) })
+	c.closeIdle() // the reader has not begun
+	go func() { c.talk(cc); conn.Close() }()
+	if s := cl.line(); s != "+OK" {
+		t.Errorf("answer %q", s)
+	}
+	if _, err := cl.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after the answer: %v", err)
+	}
+}
+
 // Guards the places of clients against those that begin a command and never
 // end it. One that waits between commands, or for its answer, is left alone.
 func TestHalfACommand(t *testing.T) {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -76,6 +76,7 @@
 	result  *outcome
 	ok      bool
 	stop    bool
+	ask     decide.EventKind // of the operators: EvDrain, EvActivate
 }
 
 // unsent is an attempt that never left.
@@ -109,6 +110,8 @@
 	stopAt    time.Time
 	idleConns int
 	idle      idleWatch // of all endpoints together
+	cl        *clients
+	ready     *atomic.Bool // as readyz says
 	fig       *figures
 	shownAt   decide.Time // when the gauges were last published
 	ctx       context.Context
@@ -136,9 +139,9 @@
 		msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
 		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}}
 	r.fig = newFigures(cfg.Policy.Classes)
-	ready := &atomic.Bool{}
+	r.ready = &atomic.Bool{}
 	if cfg.Operator != "" {
-		op, err := startOperator(cfg, log, r.fig, ready)
+		op, err := startOperator(cfg, log, r.fig, r.ready, func(k decide.EventKind) { r.in.put(happening{ask: k}) })
 		if err != nil {
 			return err
 		}
@@ -183,15 +186,16 @@
 	defer ln.Close()
 	cl := newClients(cfg, log, func(q *request) { r.in.put(happening{put: q}) },
 		func(q *request, ok bool) { r.in.put(happening{said: q, ok: ok}) })
+	r.cl = cl
 	go cl.serve(ln)
 	go func() {
 		<-stop
 		r.in.put(happening{stop: true})
 	}()
 	r.show()
-	ready.Store(true)
+	r.ready.Store(true)
 	log.Info("ready", "name", cfg.Name, "listen", ln.Addr().String(), "endpoints", len(r.endpoints), "owed", len(owed))
-	r.loop(ln, cl)
+	r.loop(ln)
 	return nil
 }
 
@@ -264,7 +268,7 @@
 
 // loop is the one goroutine that the policy belongs to: it drains what has
 // happened, steps the policy, and carries out what it says.
-func (r *Relay) loop(ln net.Listener, cl *clients) {
+func (r *Relay) loop(ln net.Listener) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	listening := true
@@ -290,7 +294,7 @@
 			if got[i].stop && r.stopAt.IsZero() {
 				r.stopAt = time.Now()
 				r.log.Info("stopping", "held", r.held, "calls", r.calls)
-				cl.closeIdle()
+				r.cl.closeIdle()
 			}
 			r.take(got[i])
 		}
@@ -354,6 +358,9 @@
 		r.attempted(m, r.byNum[h.unsent.ep], m.tries-1, &outcome{what: decide.NotSent, unsaved: true})
 	case h.call != nil:
 		r.finished(h.call, h.results)
+	case h.ask != 0 && r.stopAt.IsZero(): // a relay that ends is not taken into service again
+		r.log.Info("asked by the operators", "drain", h.ask == decide.EvDrain)
+		r.events = append(r.events, decide.Event{Kind: h.ask})
 	case h.probed != 0:
 		r.events = append(r.events, decide.Event{Kind: decide.EvProbed, Endpoint: h.probed,
 			Outcome: h.result.what, Took: h.result.took, Load: h.result.load})
@@ -680,6 +687,14 @@
 		if ep := r.byNum[a.Endpoint]; ep != nil && ep.conns != nil {
 			ep.conns.CloseIdleConnections()
 		}
+	case decide.ActSayNo:
+		r.ready.Store(false)
+		r.cl.refuse(true)
+	case decide.ActRelease:
+		r.cl.closeIdle()
+	case decide.ActSayYes:
+		r.cl.refuse(false)
+		r.ready.Store(true)
 	case decide.ActLog:
 		r.log.Info("policy", "says", a.Text)
 	}
--- a/internal/relay/operator.go
+++ b/internal/relay/operator.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"troutusher/decide"
 )
 
 // The operator address: what the staff, or their tools, ask of one relay. It is
@@ -27,8 +29,9 @@
 	addr  string // where it listens
 	log   *slog.Logger
 	fig   *figures
-	ready *atomic.Bool // this process can serve
-	most  int          // connections at once
+	ready *atomic.Bool // this process can serve, and is not drained
+	ask   func(decide.EventKind)
+	most  int // connections at once
 	srv   *http.Server
 
 	mu    sync.Mutex
@@ -41,12 +44,12 @@
 }
 
 // startOperator listens at addr. The caller closes it.
-func startOperator(cfg *Config, log *slog.Logger, fig *figures, ready *atomic.Bool) (*operator, error) {
+func startOperator(cfg *Config, log *slog.Logger, fig *figures, ready *atomic.Bool, ask func(decide.EventKind)) (*operator, error) {
 	ln, err := net.Listen("tcp", cfg.Operator)
 	if err != nil {
 		return nil, fmt.Errorf("operator: %w", err)
 	}
-	o := &operator{addr: ln.Addr().String(), log: log, fig: fig, ready: ready, most: cfg.operatorConns(), conns: map[net.Conn]*operatorConn{}}
+	o := &operator{addr: ln.Addr().String(), log: log, fig: fig, ready: ready, ask: ask, most: cfg.operatorConns(), conns: map[net.Conn]*operatorConn{}}
 	o.srv = &http.Server{Handler: o.routes(), ReadHeaderTimeout: operatorWait, ReadTimeout: operatorWait,
 		WriteTimeout: operatorWait, IdleTimeout: operatorWait, MaxHeaderBytes: 8 << 10, ConnState: o.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -79,6 +82,15 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 		w.Write(o.fig.text())
 	}))
+	// Both are handed over as events and come to the same when they are repeated.
+	mux.HandleFunc("POST /v1/relay/drain", o.whole(func(w http.ResponseWriter) {
+		o.ask(decide.EvDrain)
+		io.WriteString(w, "draining\n")
+	}))
+	mux.HandleFunc("POST /v1/relay/activate", o.whole(func(w http.ResponseWriter) {
+		o.ask(decide.EvActivate)
+		io.WriteString(w, "active\n")
+	}))
 	return mux
 }
 
--- a/internal/relay/operator_test.go
+++ b/internal/relay/operator_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	ready := &atomic.Bool{}
 	o, err := startOperator(&Config{Operator: "127.0.0.1:0", Limits: Limits{Sockets: 1024}}, quietLog(),
-		newFigures([]decide.Class{{Name: "plain"}, {Name: "once"}}), ready)
+		newFigures([]decide.Class{{Name: "plain"}, {Name: "once"}}), ready, func(decide.EventKind) {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -143,3 +143,61 @@
 		t.Errorf("readyz: %d", got)
 	}
 }
+
+// Guards the drain: PING and readyz say no, kept and late connections are served
+// until they are let go between requests, what is held still goes out, and
+// activate takes it all back.
+func TestDrained(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	disc := newFakeDiscovery(t, ep.member("s-1", 1))
+	env := testConfig(t, disc, 3)
+	env["ROUTER_OPERATOR"] = freeAddr(t)
+	c := startChild(t, env)
+	ask := func(path string) {
+		t.Helper()
+		for range 2 { // twice is once
+			if got, text := operatorCall(t, env["ROUTER_OPERATOR"], "POST", path); got != 200 {
+				t.Fatalf("%s: %d %s", path, got, text)
+			}
+		}
+	}
+	kept, held := dialClient(t, env["ROUTER_LISTEN"]), dialClient(t, env["ROUTER_LISTEN"])
+	for id, cl := range map[string]*testClient{"kept": kept, "held": held} {
+		if s := cl.put(id, fields("once", 20000, map[string]int{"kept": 1, "held": 5}[id]), nil); s != "+OK" {
+			t.Fatal(s)
+		}
+	}
+	ask("/v1/relay/drain")
+	waitFor(t, "a no", func() bool {
+		cl := dialClient(t, env["ROUTER_LISTEN"])
+		defer cl.Close()
+		io.WriteString(cl, "*1\r\n$4\r\nPING\r\n")
+		return cl.line() == "-ERR draining"
+	})
+	if got, _ := operatorCall(t, env["ROUTER_OPERATOR"], "GET", "/v1/readyz"); got != 503 {
+		t.Errorf("readyz of a drained relay: %d", got)
+	}
+	late := dialClient(t, env["ROUTER_LISTEN"])
+	if s := late.put("late", fields("once", 20000, 1), nil); s != "+OK" {
+		t.Errorf("a late connection: %s", s)
+	}
+	for name, cl := range map[string]*testClient{"kept": kept, "late": late} {
+		if _, err := cl.in.ReadByte(); err != io.EOF {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	other := newFakeEndpoint(t, nil)
+	disc.say(t, change(2, other.member("s-5", 5)))
+	waitFor(t, "what is held", func() bool { return ep.count("late") == 1 && other.count("held") == 1 })
+	ask("/v1/relay/activate")
+	c.ready(t)
+	again := dialClient(t, env["ROUTER_LISTEN"])
+	for _, id := range []string{"a", "b"} { // the connection is kept again
+		if s := again.put(id, fields("once", 20000, 1), nil); s != "+OK" {
+			t.Errorf("%s: %s", id, s)
+		}
+	}
+	if got, _ := operatorCall(t, env["ROUTER_OPERATOR"], "GET", "/v1/readyz"); got != 200 {
+		t.Errorf("readyz of an active relay: %d", got)
+	}
+}
