--- a/decide/api.go
+++ b/decide/api.go
@@ -240,6 +240,11 @@
 	Tries   int
 	DoubtAt Time
 	DoubtIn int
+
+	// EvMessage, where another process of this relay has the newest of these
+	// attempts still out: its endpoint (0 for none) and its send.
+	Out   Endpoint
+	OutAt Time
 }
 
 // ActionKind says what an Action asks for.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -192,8 +192,9 @@
 	m.place = len(p.live)
 	p.live = append(p.live, m)
 	p.later.add(m.deadline-p.margin(), func() { p.look(m) })
-	p.resume(m, e)
-	m.dest.queue = append(m.dest.queue, m)
+	if p.resume(m, e); m.call == nil {
+		m.dest.queue = append(m.dest.queue, m)
+	}
 	p.touch(m.dest)
 	if c.InOrder && m.key != 0 {
 		l := p.lines[m.key]
--- a/decide/state.go
+++ b/decide/state.go
@@ -145,6 +145,34 @@
 	if e.DoubtAt > 0 {
 		p.doubt(m, e.DoubtAt, e.DoubtIn)
 	}
+	if e.Out != 0 {
+		p.rejoin(m, e)
+	}
+}
+
+// rejoin books a call that another process has out for a message, with its place in the windows. Messages that
+// were sent there at one moment share one. An endpoint that has left the list since has books of its own.
+func (p *Policy) rejoin(m *message, e *Event) {
+	for _, x := range p.live {
+		if c := x.call; c != nil && c.ep.id == e.Out && c.sent == e.OutAt {
+			m.call = c
+		}
+	}
+	if m.call == nil {
+		ep := p.eps[e.Out]
+		if ep == nil {
+			ep = &endpoint{id: e.Out, lane: &lane{dest: m.dest, window: 1, boost: 1, hist: newCounter(historySpan, historyBins)}}
+		}
+		m.call = &call{ep: ep, sent: e.OutAt}
+		p.calls++
+		ep.flying++
+		ep.conns = max(ep.conns, ep.flying)
+		ep.lane.flying++
+		ep.lane.dest.flying++
+	}
+	m.call.left++
+	m.call.msgs = append(m.call.msgs, m)
+	p.aloft++
 }
 
 // doubt keeps the first attempt of a message that may have run; the message is looked at when its window ends.
