--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -234,6 +235,7 @@
 type clientConn struct {
 	net.Conn
 	busy int       // requests begun and not answered
+	used bool      // a request has begun on it
 	by   time.Time // for its next proper command; zero where it may take its time
 	idle time.Time
 	left bool // released: it ends with the answer to what had begun by then
@@ -251,7 +253,27 @@
 	return &clients{cfg: cfg, log: log, put: put, said: said, most: most, patience: wholeWait, conns: map[*clientConn]bool{}}
 }
 
-// serve accepts until the listener is closed.
+// reusePort lets the next process listen at the same address beside this one.
+const reusePort = 0xf // SO_REUSEPORT, which package syscall does not name on every port
+
+func listen(ctx context.Context, addr string) (*net.TCPListener, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if cerr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, reusePort, 1)
+		}); cerr != nil {
+			return cerr
+		}
+		return err
+	}}
+	ln, err := lc.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return ln.(*net.TCPListener), nil
+}
+
+// serve accepts until the listener is closed, or is to be: see stopListening.
 func (c *clients) serve(ln net.Listener) error {
 	for {
 		conn, err := ln.Accept()
@@ -259,29 +281,70 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.sweep(ln.(*net.TCPListener))
+				return ln.Close()
+			}
 			// Out of descriptors, or the client has left already: neither ends the relay.
 			c.log.Warn("clients: accept", "err", err)
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		cc := &clientConn{Conn: conn, idle: time.Now(), by: time.Now().Add(c.patience)}
-		cc.SetReadDeadline(cc.by)
-		c.mu.Lock()
-		if len(c.conns) >= c.most {
-			c.evict()
+		c.welcome(conn)
+	}
+}
+
+// stopListening has serve close the listener, once it has taken in what waits
+// there: the kernel turns back what is never accepted.
+func (c *clients) stopListening(ln *net.TCPListener) { ln.SetDeadline(time.Unix(1, 0)) }
+
+// sweep accepts what waits, with no wait for more.
+func (c *clients) sweep(ln *net.TCPListener) {
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		c.log.Error("clients: sweep", "err", err)
+		return
+	}
+	raw.Control(func(fd uintptr) {
+		for {
+			got, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			switch {
+			case errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED):
+				continue
+			case err != nil: // EAGAIN: nothing waits any more
+				return
+			}
+			f := os.NewFile(uintptr(got), "client")
+			conn, err := net.FileConn(f)
+			f.Close()
+			if err != nil {
+				c.log.Warn("clients: sweep", "err", err)
+				continue
+			}
+			c.welcome(conn)
 		}
-		c.conns[cc] = true
-		c.wg.Add(1)
-		c.mu.Unlock()
-		go func() {
-			defer c.wg.Done()
-			c.talk(cc)
-			c.mu.Lock()
-			delete(c.conns, cc)
-			c.mu.Unlock()
-			cc.Close()
-		}()
+	})
+}
+
+// welcome begins to talk on a new connection.
+func (c *clients) welcome(conn net.Conn) {
+	cc := &clientConn{Conn: conn, idle: time.Now(), by: time.Now().Add(c.patience)}
+	cc.SetReadDeadline(cc.by)
+	c.mu.Lock()
+	if len(c.conns) >= c.most {
+		c.evict()
 	}
+	c.conns[cc] = true
+	c.wg.Add(1)
+	c.mu.Unlock()
+	go func() {
+		defer c.wg.Done()
+		c.talk(cc)
+		c.mu.Lock()
+		delete(c.conns, cc)
+		c.mu.Unlock()
+		cc.Close()
+	}()
 }
 
 // evict closes the connection that has been idle for longest, to make room for
@@ -306,12 +369,31 @@
 	defer c.mu.Unlock()
 	c.closing = true
 	for cc := range c.conns {
-		if cc.busy == 0 {
+		switch {
+		case cc.busy > 0:
+		case cc.used:
 			cc.release()
+		default: // just opened: its first request is under way
+			cc.left = true
+			cc.SetReadDeadline(time.Now().Add(lateWait))
 		}
 	}
 }
 
+// share has this process make do with one part in so many of the connections.
+func (c *clients) share(parts int) {
+	most, _ := c.cfg.budget()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.most = most / parts
+}
+
+func (c *clients) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns)
+}
+
 // refuse has PING say no, or yes again. After a yes connections are kept as
 // before; those that were released by then still end.
 func (c *clients) refuse(no bool) {
@@ -334,6 +416,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc.busy++
+	cc.used = true
 	by := time.Now().Add(c.patience)
 	if !cc.by.IsZero() && cc.by.Before(by) {
 		by = cc.by
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -49,6 +49,7 @@
 	conns    *http.Transport
 	idle     idleWatch
 	calls    map[*call]bool
+	entry    decide.Entry // as the policy was last told
 }
 
 // reuse has the endpoint's connections stand idle for no longer than this.
@@ -187,6 +188,7 @@
 	ctx    context.Context
 	stop   context.CancelCauseFunc
 	wrote  func() // its last byte is out; may be nil
+	stale  bool   // of the time before the log was taken back: what comes of it is not booked
 }
 
 // outcome is what became of a call or a probe.
--- /dev/null
+++ b/internal/relay/upgrade_test.go
@@ -0,0 +1,462 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// spawn starts a relay in a process of its own and does not wait for it.
+func spawn(t *testing.T, env map[string]string) *child {
+	t.Helper()
+	c := &child{cmd: exec.Command(os.Args[0]), env: env}
+	c.cmd.Env = append(os.Environ(), childEnv+"=1")
+	for k, v := range env {
+		c.cmd.Env = append(c.cmd.Env, k+"="+v)
+	}
+	c.cmd.Stderr = testWriter{t}
+	if err := c.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.cmd.Process.Kill(); c.cmd.Wait() })
+	return c
+}
+
+// says reports whether a relay's own address says that it can serve.
+func (c *child) says(yes bool) bool {
+	resp, err := http.Get("http://" + c.env["ROUTER_OPERATOR"] + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return (resp.StatusCode == http.StatusOK) == yes
+}
+
+// figure reads one of a relay's figures.
+func (c *child) figure(t *testing.T, name string) int {
+	t.Helper()
+	_, text := operatorCall(t, c.env["ROUTER_OPERATOR"], "GET", "/v1/metrics")
+	for s := bufio.NewScanner(strings.NewReader(text)); s.Scan(); {
+		if v, ok := strings.CutPrefix(s.Text(), name+" "); ok {
+			n, err := strconv.Atoi(v)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return n
+		}
+	}
+	t.Fatalf("no figure %s", name)
+	return 0
+}
+
+// upgrade is two processes of one relay, with destinations for what there is
+// to pass on.
+type upgrade struct {
+	t        *testing.T
+	env      map[string]string
+	disc     *fakeDiscovery
+	old, new *child
+	kept     *testClient // of the old one
+	quick    *fakeEndpoint
+	slow     *fakeEndpoint // answers on release
+	waits    *fakeEndpoint // told to wait, for long
+	later    *fakeEndpoint // not on the list at first
+	release  chan struct{}
+	entered  atomic.Int32
+	tell     atomic.Bool // the slow one then tells to wait
+}
+
+// newUpgrade runs the old process, with an unsafe and a keyed call out, a
+// message that was told to wait and one that nobody serves yet.
+func newUpgrade(t *testing.T) *upgrade {
+	u := &upgrade{t: t, release: make(chan struct{}), quick: newFakeEndpoint(t, nil), later: newFakeEndpoint(t, nil)}
+	u.slow = newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+		u.entered.Add(1)
+		select {
+		case <-u.release:
+			if u.tell.Load() {
+				w.Header().Set("Retry-After", "3600")
+				w.WriteHeader(http.StatusTooManyRequests)
+			}
+		case <-r.Context().Done():
+		}
+	})
+	u.waits = newFakeEndpoint(t, func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Retry-After", "3600")
+		w.WriteHeader(http.StatusTooManyRequests)
+	})
+	u.disc = newFakeDiscovery(t, u.quick.member("s-1", 1), u.slow.member("s-2", 2), u.waits.member("s-3", 3), u.slow.member("s-6", 6))
+	u.env = testConfig(t, u.disc, 3)
+	u.env["ROUTER_OPERATOR"] = freeAddr(t)
+	u.old = startChild(t, u.env)
+	u.kept = dialClient(t, u.env["ROUTER_LISTEN"])
+	for id, f := range map[string]string{"out": fields("once", 20000, 2), "keyed": fields("keyed", 20000, 6),
+		"waits": fields("once", 20000, 3), "held": fields("once", 20000, 5)} {
+		u.put(u.kept, id, f)
+	}
+	waitFor(t, "the calls", func() bool { return u.entered.Load() == 2 && u.waits.count("waits") == 1 })
+	waitFor(t, "the outcome in the log", func() bool { return u.logged(walName, `"kind":"outcome","id":"waits"`) })
+	return u
+}
+
+func (u *upgrade) put(cl *testClient, id, f string) {
+	u.t.Helper()
+	if s := cl.put(id, f, nil); s != "+OK" {
+		u.t.Fatalf("%s: %s", id, s)
+	}
+}
+
+func (u *upgrade) logged(file, text string) bool {
+	b, err := os.ReadFile(filepath.Join(u.env["ROUTER_STATE"], file))
+	return err == nil && strings.Contains(string(b), text)
+}
+
+func (u *upgrade) beside() {
+	env := maps.Clone(u.env)
+	env["ROUTER_OPERATOR"] = freeAddr(u.t)
+	u.new = spawn(u.t, env)
+	waitFor(u.t, "a yes of the new process", func() bool { return u.new.says(true) })
+}
+
+func (u *upgrade) delivered(e *fakeEndpoint, ids ...string) {
+	u.t.Helper()
+	for _, id := range ids {
+		waitFor(u.t, id, func() bool { return e.count(id) > 0 })
+	}
+}
+
+// once checks that nothing went out twice, or was ended by a notice.
+func (u *upgrade) once(ids ...string) {
+	u.t.Helper()
+	for _, id := range ids {
+		n := 0
+		for _, e := range []*fakeEndpoint{u.quick, u.slow, u.waits, u.later} {
+			n += e.count(id)
+		}
+		if _, ended := u.disc.notice(id); n != 1 || ended {
+			u.t.Errorf("%s went out %d times; ended by a notice: %v", id, n, ended)
+		}
+	}
+}
+
+// show5 puts an endpoint on the list that serves destination 5.
+func (u *upgrade) show5() {
+	u.disc.set(func(d *fakeDiscovery) {
+		for _, lines := range d.lines {
+			select {
+			case lines <- change(2, u.later.member("s-5", 5)):
+			default:
+			}
+		}
+		d.list.Members = append(d.list.Members, u.later.member("s-5", 5))
+	})
+}
+
+// Two processes are one relay: what the old one holds is delivered by the new
+// one, what it has out ends there and nowhere else, a told wait binds both, its
+// clients are served until it goes, and an id is taken on once.
+func TestUpgrade(t *testing.T) {
+	u := newUpgrade(t)
+	u.beside()
+	u.put(u.kept, "late", fields("once", 20000, 1)) // taken on by the old one, sent by the new
+	u.delivered(u.quick, "late")
+	u.put(u.kept, "late5", fields("once", 20000, 5))
+	u.put(u.kept, "waits2", fields("once", 20000, 3))
+	// Any connection may be the new process's: an id that the old one took on is known there.
+	for range 8 {
+		u.put(dialClient(t, u.env["ROUTER_LISTEN"]), "late5", fields("once", 20000, 5))
+	}
+	u.show5()
+	u.delivered(u.later, "held", "late5")
+	close(u.release)
+	waitFor(t, "the end of the calls", func() bool { return u.old.figure(t, "app_pending") == 0 })
+	u.old.cmd.Process.Signal(syscall.SIGTERM)
+	if _, err := u.kept.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("a connection of the old process: %v", err)
+	}
+	if err := u.old.cmd.Wait(); err != nil {
+		t.Errorf("exit of the old process: %v", err)
+	}
+	cl := dialClient(t, u.env["ROUTER_LISTEN"])
+	u.put(cl, "after", fields("once", 20000, 1))
+	u.delivered(u.quick, "after")
+	waitFor(t, "the end of the side log", func() bool {
+		_, err := os.Stat(filepath.Join(u.env["ROUTER_STATE"], sideName))
+		return errors.Is(err, os.ErrNotExist)
+	})
+	u.once("out", "keyed", "late", "held", "late5", "after")
+	if n := u.waits.count("waits") + u.waits.count("waits2"); n != 1 {
+		t.Errorf("%d calls against a told wait", n)
+	}
+	if n := u.new.figure(t, `app_completed{lane="once"}`); n != 4 { // what it delivered itself
+		t.Errorf("the new process counts %d delivered", n)
+	}
+}
+
+// A told wait that the old process hears of after it has passed on binds the
+// new one, too.
+func TestUpgradeWaitHeardLate(t *testing.T) {
+	u := newUpgrade(t)
+	u.beside()
+	avoided := u.new.figure(t, "app_members_unavailable")
+	u.tell.Store(true)
+	close(u.release)
+	waitFor(t, "the wait", func() bool { return u.new.figure(t, "app_members_unavailable") == avoided+2 })
+	u.put(u.kept, "next", fields("once", 20000, 2))
+	u.put(u.kept, "mark", fields("once", 20000, 1))
+	u.delivered(u.quick, "mark")
+	if n := u.slow.count("next"); n != 0 {
+		t.Errorf("%d calls against a told wait", n)
+	}
+	u.once("out", "keyed")
+}
+
+// Killed with its calls out, the old process leaves them in doubt: the unsafe
+// one fails, the keyed one goes out again, and what it took on late is kept.
+func TestUpgradeOldKilled(t *testing.T) {
+	u := newUpgrade(t)
+	u.beside()
+	u.put(u.kept, "late", fields("once", 20000, 5))
+	u.old.kill()
+	u.slow.then(nil)
+	waitFor(t, "notice of the unsafe one", func() bool { n, ok := u.disc.notice("out"); return ok && n.Outcome == endGivenUp })
+	waitFor(t, "the keyed one", func() bool { return u.slow.count("keyed") == 2 })
+	u.show5()
+	u.delivered(u.later, "held", "late")
+	u.once("held", "late")
+	if n := u.slow.count("out"); n != 1 {
+		t.Errorf("the unsafe message went out %d times", n)
+	}
+}
+
+// Killed after it took over, the new process leaves a relay that goes on: the
+// old one takes all back, with what it took on itself meanwhile.
+func TestUpgradeNewKilled(t *testing.T) {
+	u := newUpgrade(t)
+	u.beside()
+	u.put(u.kept, "late", fields("once", 20000, 5))
+	u.new.kill()
+	u.slow.then(nil)
+	waitFor(t, "notice of the unsafe one", func() bool { n, ok := u.disc.notice("out"); return ok && n.Outcome == endGivenUp })
+	u.show5()
+	u.delivered(u.later, "held", "late")
+	u.put(u.kept, "more", fields("once", 20000, 1))
+	u.delivered(u.quick, "more")
+	u.once("held", "late", "more")
+	// And it can be upgraded again.
+	u.beside()
+	u.put(u.kept, "last", fields("once", 20000, 1))
+	u.delivered(u.quick, "last")
+	u.once("last")
+}
+
+// Both killed, the next process finds everything in the two logs.
+func TestUpgradeBothKilled(t *testing.T) {
+	u := newUpgrade(t)
+	u.beside()
+	u.put(u.kept, "late", fields("once", 20000, 5))
+	u.new.kill()
+	u.old.kill()
+	u.slow.then(nil)
+	startChild(t, u.env)
+	u.show5()
+	u.delivered(u.later, "held", "late")
+	waitFor(t, "notice of the unsafe one", func() bool { _, ok := u.disc.notice("out"); return ok })
+	u.once("held", "late")
+}
+
+// A process that waits to take over says no; its death changes nothing, and one
+// that is told to stop ends.
+func TestUpgradeWaiting(t *testing.T) {
+	env := testConfig(t, newFakeDiscovery(t), 3)
+	lock, err := openLock(env["ROUTER_STATE"], lockName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lock.close()
+	if got, err := lock.try(); !got {
+		t.Fatal(err)
+	}
+	next, err := openLock(env["ROUTER_STATE"], nextName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.close()
+	wished := func(want bool) func() bool {
+		return func() bool {
+			got, err := next.held()
+			if err != nil {
+				t.Fatal(err)
+			}
+			return got == want
+		}
+	}
+	env["ROUTER_OPERATOR"] = freeAddr(t)
+	first := spawn(t, env)
+	waitFor(t, "the wish", wished(true))
+	if !first.says(false) {
+		t.Error("says yes without the lock")
+	}
+	first.kill()
+	waitFor(t, "the end of the wish", wished(false))
+	second := spawn(t, env)
+	waitFor(t, "the wish", wished(true))
+	second.cmd.Process.Signal(syscall.SIGTERM)
+	if err := second.cmd.Wait(); err != nil {
+		t.Errorf("told to stop: %v", err)
+	}
+}
+
+// Guards the logs at the moment they change hands, for a kill at any byte of
+// either: what was taken on is there, once, and booked no further than it was.
+func TestPassedLogCut(t *testing.T) {
+	build := func(dir string) {
+		w, _ := openTestWAL(t, dir, 1<<20)
+		mustAppend(t, w, taken("a", "A"), taken("b", "B"), &record{Kind: recAttempt, ID: "b", At: 5, To: "s-1", By: w.by})
+		if err := w.pass(&record{Kind: recPass, ID: noMessage, body: []byte("memory")}); err != nil {
+			t.Fatal(err)
+		}
+		mustAppend(t, w, taken("c", "C"), &record{Kind: recOutcome, ID: "b"})
+		w.file.Close() // killed
+	}
+	whole := t.TempDir()
+	build(whole)
+	for _, name := range []string{walName, sideName} {
+		text, err := os.ReadFile(filepath.Join(whole, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for cut := range text {
+			dir := t.TempDir()
+			for _, other := range []string{walName, sideName} {
+				b, err := os.ReadFile(filepath.Join(whole, other))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if other == name {
+					b = b[:cut]
+				}
+				if err := os.WriteFile(filepath.Join(dir, other), b, 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_, first := openTestWAL(t, dir, 1<<20)
+			_, second := openTestWAL(t, dir, 1<<20)
+			if fmt.Sprint(describe(first)) != fmt.Sprint(describe(second)) {
+				t.Fatalf("%s cut at %d: %v, then %v", name, cut, describe(first), describe(second))
+			}
+			if name == sideName && (len(first) < 2 || first[0].ID != "a" || first[1].ID != "b" || first[1].Tries != 1) {
+				t.Fatalf("%s cut at %d: %v", name, cut, describe(first))
+			}
+		}
+	}
+	if _, owed := openTestWAL(t, whole, 1<<20); len(owed) != 3 || owed[1].Doubt != 0 {
+		t.Errorf("whole: %v", describe(owed))
+	}
+}
+
+func describe(recs []*record) (all []string) {
+	for _, r := range recs {
+		all = append(all, fmt.Sprintf("%s %d %d", r.ID, r.Tries, r.Doubt))
+	}
+	return all
+}
+
+// Guards against booking a record of the side log twice: what the next process
+// has done since must not be undone by reading it again.
+func TestSideLogBookedOnce(t *testing.T) {
+	dir := t.TempDir()
+	old, _ := openTestWAL(t, dir, 1<<20)
+	mustAppend(t, old, taken("a", "A"), &record{Kind: recAttempt, ID: "a", At: 5, To: "s-1", By: old.by})
+	if err := old.pass(&record{Kind: recPass, ID: noMessage}); err != nil {
+		t.Fatal(err)
+	}
+	mustAppend(t, old, &record{Kind: recOutcome, ID: "a"}, taken("b", "B"))
+	next, owed, side, err := openWAL(dir, 1<<20, quietLog())
+	if err != nil || side == nil || len(owed) != 1 || owed[0].OutTo != "s-1" {
+		t.Fatalf("%v, side log %v, %v", describe(owed), side, err)
+	}
+	for _, r := range side.read() {
+		mustAppend(t, next, r)
+	}
+	mustAppend(t, next, &record{Kind: recAttempt, ID: "a", At: 9, To: "s-1", By: next.by}, &record{Kind: recEnd, ID: "b"})
+	next.file.Close() // killed, and the old one, too
+	old.file.Close()
+	side.f.Close()
+	if _, owed := openTestWAL(t, dir, 1<<20); len(owed) != 1 || owed[0].ID != "a" || owed[0].Tries != 2 || owed[0].Doubt != 9 {
+		t.Errorf("%v", describe(owed))
+	}
+}
+
+// Guards the disk while two processes write: both logs and a compaction fit.
+func TestSideLogBounded(t *testing.T) {
+	const limit = 1 << 20
+	for _, full := range []bool{false, true} {
+		dir := t.TempDir()
+		old, _ := openTestWAL(t, dir, limit)
+		body := strings.Repeat("b", 8<<10)
+		for i := 0; full || i < 4; i++ {
+			if old.append(taken(strconv.Itoa(i), body)) != nil {
+				break
+			}
+		}
+		if err := old.pass(&record{Kind: recPass, ID: noMessage, body: []byte(strings.Repeat("m", 8<<10))}); err != nil {
+			t.Fatal(err)
+		}
+		next, _, side, err := openWAL(dir, limit, quietLog())
+		if err != nil || side == nil {
+			t.Fatal(err)
+		}
+		for i := range 400 {
+			old.append(taken("o"+strconv.Itoa(i), body))
+			next.append(taken("n"+strconv.Itoa(i), body))
+			if old.size+next.size+next.owed > limit {
+				t.Fatalf("full %v: %d in the side log, %d in the log, %d to compact", full, old.size, next.size, next.owed)
+			}
+		}
+		for i := range 50 { // how its calls ended still fits
+			mustAppend(t, old, &record{Kind: recEnd, ID: "o" + strconv.Itoa(i)})
+		}
+		old.file.Close()
+		next.file.Close()
+		side.f.Close()
+	}
+}
+
+// Guards the clients of a listener that closes: what waits there is taken in.
+func TestStopListening(t *testing.T) {
+	ln, err := listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newClients(testSet(t), quietLog(), accept, func(*request, bool) {})
+	var waiting []*testClient
+	for range 20 { // nobody accepts yet
+		waiting = append(waiting, dialClient(t, ln.Addr().String()))
+	}
+	c.stopListening(ln)
+	if err := c.serve(ln); err != nil {
+		t.Fatal(err)
+	}
+	for i, cl := range waiting {
+		if s := cl.put(fmt.Sprintf("m%d", i), fields("plain", 8000, 1), nil); s != "+OK" {
+			t.Errorf("%d: %s", i, s)
+		}
+	}
+	if _, err := net.DialTimeout("tcp", ln.Addr().String(), time.Second); err == nil {
+		t.Error("still listens")
+	}
+}
