--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -9,10 +9,12 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -77,7 +79,9 @@
 	noticePath  = "/reports"
 	discSilence = 3500 * time.Millisecond // a watch says something every 2 s
 	discAnswer  = time.Second             // the agent answers at once, or is down
-	discPause   = 200 * time.Millisecond
+	discPause   = 200 * time.Millisecond  // before the next try
+	discAway    = 400 * time.Millisecond  // the same after one that was turned away; doubles with each in a row
+	discMost    = 5 * time.Second
 	listMost    = 4 << 20 // bytes of a list or a line
 )
 
@@ -141,10 +145,14 @@
 	client  *http.Client
 	silence time.Duration
 	news    func(*List) // called in order
+	refused func()      // called where a try was turned away; may be nil
+	random  func() float64
+	away    int // tries turned away in a row
 }
 
 func newDiscovery(addr string, log *slog.Logger, news func(*List)) *discovery {
-	return &discovery{agent: agent{addr: addr}, log: log, client: newPlainClient(4), silence: discSilence, news: news}
+	return &discovery{agent: agent{addr: addr}, log: log, client: newPlainClient(4), silence: discSilence, news: news,
+		random: rand.Float64}
 }
 
 // run watches until ctx ends. What is heard is passed on with no delay: the
@@ -168,12 +176,40 @@
 		moved := turn.Err() != nil
 		cancel()
 		if ctx.Err() == nil && !moved {
-			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "err", err)
-			sleep(ctx, discPause)
+			pause := d.pause(err)
+			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "pause_ms", pause.Milliseconds(), "err", err)
+			if d.away > 0 && d.refused != nil {
+				d.refused()
+			}
+			sleep(ctx, pause)
 		}
 	}
 }
 
+// errAway is a status by which discovery turns a call away.
+var errAway = errors.New("turned away")
+
+// pause is how long to wait before the next try. Discovery that turns calls
+// away has too many: those of a whole fleet, which lost it at one moment. Each
+// try then comes later than the one before, and at a moment of its own.
+func (d *discovery) pause(err error) time.Duration {
+	away := errors.Is(err, errAway) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	base := discPause // silent: the agent alone is asked, and a watch puts an end to the run
+	if away {
+		base = min(discAway<<min(d.away, 8), discMost)
+		d.away++
+	}
+	return time.Duration(float64(base) * (0.5 + d.random()))
+}
+
+// statusError tells of an answer other than 200.
+func statusError(what string, code int) error {
+	if code == http.StatusTooManyRequests || code >= http.StatusInternalServerError {
+		return fmt.Errorf("discovery: %s: status %d: %w", what, code, errAway)
+	}
+	return fmt.Errorf("discovery: %s: status %d", what, code)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -197,7 +233,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("discovery: list: status %d", resp.StatusCode)
+		return nil, statusError("list", resp.StatusCode)
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, listMost))
 	if err != nil {
@@ -229,8 +265,10 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return from, false, fmt.Errorf("discovery: watch: status %d", resp.StatusCode)
+		err := statusError("watch", resp.StatusCode)
+		return from, errors.Is(err, errAway), err // turned away, it says nothing about the list
 	}
+	d.away = 0
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), listMost)
 	for rev = from; lines.Scan(); {
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -159,3 +159,53 @@
 		t.Error("a second try would be late")
 	}
 }
+
+// Guards discovery against a fleet that comes back at one moment: tries that
+// are turned away come ever later, each at a moment of its own, and a silent or
+// ended watch is no reason for that.
+func TestDiscoveryPause(t *testing.T) {
+	x := newDiscovery("127.0.0.1:1", quietLog(), nil)
+	draw := 0.0
+	x.random = func() float64 { return draw }
+	away := statusError("list", http.StatusServiceUnavailable)
+	last := time.Duration(0)
+	for i, want := range []time.Duration{200, 400, 800, 1600, 2500, 2500} {
+		if last = x.pause(away); last != want*time.Millisecond {
+			t.Errorf("pause %d: %v", i, last)
+		}
+	}
+	if draw = 1; x.pause(away) != 3*last {
+		t.Error("all come at one moment")
+	}
+	if x.pause(io.EOF) > 2*discPause {
+		t.Error("a watch that ended counts as turned away")
+	}
+}
+
+// A watch that is turned away goes on from where it was: the whole list is not
+// asked for again.
+func TestWatchTurnedAway(t *testing.T) {
+	d := newFakeDiscovery(t, Member{ID: "s-1", HostPort: "127.0.0.1:1", Phase: phaseUp})
+	d.set(func(d *fakeDiscovery) { d.turnAway = 2 })
+	next(t, watchList(t, d, time.Minute))
+	waitFor(t, "a watch", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.froms) == 1 })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fetches != 1 || d.froms[0] != "1" || d.turnAway != 0 {
+		t.Errorf("%d fetches, then from %v; %d calls left to turn away", d.fetches, d.froms, d.turnAway)
+	}
+}
+
+// Guards the start while discovery turns calls away: the list in the
+// configuration serves, with no wait for a better one.
+func TestStartTurnedAway(t *testing.T) {
+	r := newTestRelay(t)
+	r.cfg.Known = &List{Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Phase: phaseUp}}}
+	r.in.put(happening{refused: true})
+	done := make(chan struct{})
+	go func() { r.firstList(time.Hour); close(done) }()
+	<-done
+	if len(r.endpoints) != 1 {
+		t.Errorf("%d endpoints", len(r.endpoints))
+	}
+}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -83,6 +83,7 @@
 	notices  map[string]notice
 	answer   int // status of notices
 	silent   bool
+	turnAway int // so many watches more
 	unheard  int // requests that came while silent
 	released chan struct{}
 }
@@ -115,6 +116,12 @@
 		d.mu.Unlock()
 		return
 	}
+	if d.turnAway > 0 {
+		d.turnAway--
+		d.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	lines := make(chan string, 16)
 	d.lines = append(d.lines, lines)
 	d.froms = append(d.froms, r.URL.Query().Get("from"))
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -79,6 +79,7 @@
 	ok      bool
 	stop    bool
 	ask     decide.EventKind // of the operators: EvDrain, EvActivate
+	refused bool             // discovery turned a call away
 	noticed string           // the message whose notice was taken
 	unkept  *message         // taken over from the side log, but the log has no room for it
 	passed  bool             // the log was passed on, with ok
@@ -159,6 +160,7 @@
 	r.notices = newNotices(cfg.Discovery, log, func(id string) { r.in.put(happening{noticed: id}) })
 	go r.notices.run(ctx)
 	disc := newDiscovery(cfg.Discovery, log, func(l *List) { r.in.put(happening{news: l}) })
+	disc.refused = func() { r.in.put(happening{refused: true}) }
 	go disc.run(ctx)
 	go func() {
 		for {
@@ -173,7 +175,7 @@
 		}
 	}()
 
-	r.firstList()
+	r.firstList(firstList)
 	r.step() // the list alone
 	r.cl = newClients(cfg, log, func(q *request) { r.in.put(happening{put: q}) },
 		func(q *request, ok bool) { r.in.put(happening{said: q, ok: ok}) })
@@ -206,24 +208,29 @@
 
 // firstList waits a while for the whole list: the one in the configuration may
 // be old, and an endpoint that drained since must not be sent to. Where
-// discovery is silent the old one has to do.
-func (r *Relay) firstList() {
-	limit := time.NewTimer(firstList)
+// discovery is silent, or turns calls away, the old one has to do.
+func (r *Relay) firstList(most time.Duration) {
+	limit := time.NewTimer(most)
 	defer limit.Stop()
 	if r.cfg.Known != nil {
 		r.list(r.cfg.Known, decide.ListCached)
 	}
 	var got []happening
-	for {
+	for told := false; ; {
 		select {
 		case <-r.in.ready:
 			got = r.in.takeAll(got)
 			for _, h := range got {
 				if h.news != nil {
 					r.take(h)
+				} else if !h.refused {
+					defer r.in.put(h) // for the loop
 				}
+				told = told || h.news != nil || h.refused && r.cfg.Known != nil
+			}
+			if told {
+				return
 			}
-			return
 		case <-limit.C:
 			r.log.Warn("discovery is silent: the list in the configuration is used")
 			return
