Let unsafe messages share no call with others while many calls end in silence

Batches with a copy-order that hung held 7 to 8 of 14 slots for 4 to 6 s, and alert-updates in them ran out of time. Ruled out: pace, windows and limits (queues grew with tokens left and windows open).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,8 @@
 	heldReserve = 16   // one part in so many of the room is kept free
 	noConnTight = 0.05 // share of calls without a connection above which connections are taken to run out
 	tightSpan   = 20   // calls over which that share is told
+	silentMany  = 0.04 // share of calls with no answer above which hanging is held to be usual
+	silentSpan  = 50   // calls over which that share is told
 
 	drainHeed = 6 * second / 10 // from the first no until connections are closed: word of it takes a while
 )
@@ -434,6 +436,11 @@
 	} else {
 		*t -= *t / tightSpan
 	}
+	if e.Outcome == TimedOut || e.Outcome == Cancelled {
+		p.silent += (1 - p.silent) / silentSpan
+	} else {
+		p.silent -= p.silent / silentSpan
+	}
 	switch e.Outcome {
 	case Delivered:
 		l.hist.accept(p.now)
@@ -582,6 +589,7 @@
 // was answered: it would hold a place in the window and a connection of few until its deadline.
 func (p *Policy) review(c *call) {
 	worn := p.patience(c.ep) + 1
+	again := p.now + worn // a later call may have been answered by then
 	at := max(c.sent, cmp.Or(p.pressed, p.now))
 	if slices.ContainsFunc(c.msgs, func(m *message) bool { return m.class.Repeat == Unsafe }) {
 		worn *= unsafeWait
@@ -590,7 +598,7 @@
 		}
 	}
 	if at += worn; c.left > 0 && at > p.now {
-		p.later.add(at, func() { p.review(c) })
+		p.later.add(min(at, again), func() { p.review(c) })
 		return
 	}
 	for _, m := range c.msgs {
@@ -881,7 +889,7 @@
 		if c.left >= d.kind.Batch {
 			break
 		}
-		if m == d.pick || c.left > 0 && !trial {
+		if m == d.pick || c.left > 0 && !trial && p.mayShare(m, d.pick) {
 			p.send(m, c)
 		}
 	}
@@ -900,6 +908,12 @@
 	ep.conns = max(ep.conns, (ep.flying+p.set.Streams-1)/p.set.Streams)
 }
 
+// mayShare: where many calls end in silence, an unsafe message shares none with others, as it has the call
+// waited for far longer. Harm: more calls for as many messages.
+func (p *Policy) mayShare(m, other *message) bool {
+	return p.silent < silentMany || (m.class.Repeat == Unsafe) == (other.class.Repeat == Unsafe)
+}
+
 // send is the one place that sends.
 func (p *Policy) send(m *message, c *call) {
 	if !p.maySend(m, c.ep) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -886,3 +886,59 @@
 		t.Errorf("a release that was called off: %+v", a)
 	}
 }
+
+// TestHangingCallsAreNotShared: where many calls end in silence, an unsafe message, for which a call is waited
+// for far longer, does not hold up others in it; where few do, it shares its call as ever.
+func TestHangingCallsAreNotShared(t *testing.T) {
+	s := one()
+	s.Kinds[0].Batch = 4
+	unsafe := s.Classes[0]
+	unsafe.Repeat = Unsafe
+	s.Classes = append(s.Classes, unsafe)
+	for _, hang := range []bool{false, true} {
+		r := newRig(t, s, ready(1, 1000))
+		ep := r.p.eps[1]
+		for i := range 100 { // one in five is called off, or none
+			o := Delivered
+			if hang && i%5 == 0 {
+				o, ep.okAt = Cancelled, r.now // others were answered since
+			}
+			r.p.observe(&call{ep: ep, sent: r.now - second}, &Event{Kind: EvOutcome, Outcome: o, Took: second / 10})
+		}
+		r.p.eps[1].lane.window = 1 // one call with all, or none
+		r.step(r.message(0, 0), r.message(1, 0), r.message(0, 0), r.message(1, 0))
+		kinds := map[Repeat]int{}
+		for _, a := range r.sends {
+			kinds[r.p.msgs[a.Message].class.Repeat]++
+		}
+		if len(r.sends) < 2 || (len(kinds) == 1) != hang {
+			t.Errorf("hanging %v: sent %v of each kind", hang, kinds)
+		}
+	}
+}
+
+// TestHungCallIsLookedAtAgain: that a call sent much later was answered is seen within one patience, also where
+// no slot was wanted when the hung call was last looked at.
+func TestHungCallIsLookedAtAgain(t *testing.T) {
+	s := one()
+	s.Classes[0].Repeat = Unsafe
+	r := newRig(t, s, ready(1, 1000))
+	r.step(r.message(0, 0))
+	r.now += second / 10
+	r.step(answer(r.sends[0], Delivered))
+	r.now += second
+	r.step(r.message(0, 0))
+	hung := r.sends[0]
+	patience := r.p.patience(r.p.eps[1])
+	r.now += (unsafeWait + 1) * patience
+	r.step(r.message(0, 0))
+	other := r.sends[0]
+	r.now += second / 100
+	r.step(answer(other, Delivered))
+	for end := r.now + 2*patience; r.now < end; r.now += 5000 {
+		if r.step(); count(r.acts, ActCancel) == 1 && r.acts[0].Message == hung.Message {
+			return
+		}
+	}
+	t.Error("not called off")
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -29,6 +29,7 @@
 	asked   Time
 	tight   []float64 // share of calls that found no connection, by kind of destination
 	lat     latency   // of all answers
+	silent  float64   // share of calls that ended with no answer
 	pressed Time      // since when messages wait and every slot is taken; 0 for not
 	drained Time      // since when the operators have it emptied; 0 for not
 }
