Take in what discovery said while a process waited to take over

A process that waited for the lock began with the list of its start: what had drained since would have been sent to until the loop read the news.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -118,6 +118,7 @@
 	idle      idleWatch // of all endpoints together
 	owner     owner
 	far       map[string]*message // whose calls another process has out
+	early     []happening // that came before the loop ran
 	cl        *clients
 	ready     *atomic.Bool // as readyz says
 	fig       *figures
@@ -183,6 +184,8 @@
 		return err
 	}
 	defer r.owner.close()
+	r.takeNews() // the wait may have been long: what drains since must not be sent to
+	r.step()
 	owed, err := r.openLog()
 	if err != nil {
 		return err
@@ -196,6 +199,10 @@
 	}
 	defer ln.Close()
 	go r.cl.serve(ln)
+	for _, h := range r.early {
+		r.in.put(h)
+	}
+	r.early = nil
 	go func() {
 		<-stop
 		r.in.put(happening{stop: true})
@@ -215,22 +222,10 @@
 	if r.cfg.Known != nil {
 		r.list(r.cfg.Known, decide.ListCached)
 	}
-	var got []happening
-	for told := false; ; {
+	for told := false; !told; {
 		select {
 		case <-r.in.ready:
-			got = r.in.takeAll(got)
-			for _, h := range got {
-				if h.news != nil {
-					r.take(h)
-				} else if !h.refused {
-					defer r.in.put(h) // for the loop
-				}
-				told = told || h.news != nil || h.refused && r.cfg.Known != nil
-			}
-			if told {
-				return
-			}
+			told = r.takeNews()
 		case <-limit.C:
 			r.log.Warn("discovery is silent: the list in the configuration is used")
 			return
@@ -238,6 +233,23 @@
 	}
 }
 
+// takeNews takes in what discovery has said so far, and leaves all else for the
+// loop. It reports whether the list is as good as it can be had now.
+func (r *Relay) takeNews() (told bool) {
+	for _, h := range r.in.takeAll(nil) {
+		switch {
+		case h.news != nil:
+			r.take(h)
+			told = true
+		case h.refused:
+			told = told || r.cfg.Known != nil
+		default:
+			r.early = append(r.early, h)
+		}
+	}
+	return told
+}
+
 // restore takes up what an earlier process left owed.
 func (r *Relay) restore(owed []*record) {
 	for _, rec := range owed {
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -269,7 +269,7 @@
 		r.cameBack(m, &record{Kind: recOutcome, ID: m.rec.ID, Ran: true, What: decide.Cancelled})
 	}
 	w := r.wal
-	w.submit(&record{Kind: recMark, ID: noMessage, By: w.by, Side: s.at}, func(error) { w.sideDone(s) })
+	w.submit(&record{Kind: recMark, ID: noMessage, By: r.owner.by, Side: s.at}, func(error) { w.sideDone(s) })
 	r.owner.side = nil
 	r.share()
 }
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"troutusher/decide"
 )
 
 // spawn starts a relay in a process of its own and does not wait for it.
@@ -460,3 +462,21 @@
 		t.Error("still listens")
 	}
 }
+
+// Guards what drains while a process waits to take over: it is known before
+// anything is sent, and what came besides is kept for the loop.
+func TestNewsWhileWaiting(t *testing.T) {
+	r := newTestRelay(t)
+	m := Member{ID: "s-1", HostPort: "127.0.0.1:1", Phase: phaseUp}
+	r.in.put(happening{news: &List{Complete: true, Members: []Member{m}}})
+	if !r.takeNews() || r.endpoints["s-1"].gone {
+		t.Fatal("the first list")
+	}
+	m.Phase = phaseDraining
+	r.in.put(happening{ask: decide.EvDrain})
+	r.in.put(happening{news: &List{Members: []Member{m}}})
+	r.takeNews()
+	if !r.endpoints["s-1"].gone || len(r.early) != 1 || r.early[0].ask != decide.EvDrain {
+		t.Errorf("gone %v, kept %d", r.endpoints["s-1"].gone, len(r.early))
+	}
+}
