--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -118,7 +118,7 @@
 	idle      idleWatch // of all endpoints together
 	owner     owner
 	far       map[string]*message // whose calls another process has out
-	early     []happening // that came before the loop ran
+	early     []happening         // that came before the loop ran
 	cl        *clients
 	ready     *atomic.Bool // as readyz says
 	fig       *figures
