--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,7 @@
 	heldReserve = 16   // one part in so many of the room is kept free
 	noConnTight = 0.05 // share of calls without a connection above which connections are taken to run out
 	tightSpan   = 20   // calls over which that share is told
+	overduePart = 0.33 // of the slots, held by calls that take longer than is usual: too many
 	silentMany  = 0.04 // share of calls with no answer above which hanging is held to be usual
 	silentSpan  = 50   // calls over which that share is told
 
@@ -592,7 +593,9 @@
 	again := p.now + worn // a later call may have been answered by then
 	at := max(c.sent, cmp.Or(p.pressed, p.now))
 	if slices.ContainsFunc(c.msgs, func(m *message) bool { return m.class.Repeat == Unsafe }) {
-		worn *= unsafeWait
+		if worn *= unsafeWait; p.overdue() >= max(2, int(overduePart*float64(p.set.Slots))) {
+			worn /= 2 // too many slots hang for all of them to be given so long
+		}
 		if c.ep.okSent > c.sent+worn { // a pause or a slow spell holds up what was sent later, too
 			at = c.sent
 		}
@@ -618,6 +621,16 @@
 	return ep.sick && ep.goodAt == 0 || !ep.sick && ep.restUntil > now
 }
 
+// overdue counts the calls that have been out for longer than calls there usually take.
+func (p *Policy) overdue() (n int) {
+	for _, m := range p.live {
+		if c := m.call; c != nil && c.msgs[0] == m && p.now-c.sent > p.patience(c.ep) {
+			n++
+		}
+	}
+	return n
+}
+
 // spend takes a call out of the budget. Where a part is less than one call relays must not act in step: each
 // then needs a random amount with the same mean.
 func (p *Policy) spend(ep *endpoint) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -942,3 +942,29 @@
 	}
 	t.Error("not called off")
 }
+
+// TestManyOverdue: where a third of the slots is held by calls that hang, unsafe ones too are called off sooner:
+// waited for as long as a single one is (TestReclaimMixedBatch), they would leave no slot to what can be delivered.
+func TestManyOverdue(t *testing.T) {
+	s := one()
+	s.Slots = 4
+	s.Classes[0].Repeat = Unsafe
+	r := newRig(t, s, ready(1, 1000), Entry{Endpoint: 2, State: Ready, Dest: 1, Rate: 1000})
+	for dest := range 2 { // what is usual is known, and the windows have room
+		r.step(r.message(0, dest))
+		r.now += second / 10
+		r.step(answer(r.sends[0], Delivered))
+	}
+	r.now += second
+	r.step(r.message(0, 0), r.message(0, 0), r.message(0, 1), r.message(0, 1), r.message(0, 0))
+	if r.p.calls != 4 || r.p.overdue() != 0 {
+		t.Fatalf("%d calls out, %d overdue", r.p.calls, r.p.overdue())
+	}
+	start, patience := r.now, r.p.patience(r.p.eps[1])
+	for r.step(); count(r.acts, ActCancel) == 0 && r.now < start+10*second; r.step() {
+		r.now += 5000
+	}
+	if after := r.now - start; after < 2*patience || after > 3*patience {
+		t.Errorf("called off after %d ms, patience %d ms", after/1000, patience/1000)
+	}
+}
