--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -620,7 +620,7 @@
 	}
 	r.fig.members.Store(int64(members))
 	r.fig.unavailable.Store(int64(avoided))
-	r.fig.pending.Store(int64(r.held))
+	r.fig.pending.Store(int64(r.held - len(r.far))) // those are the other process's until their calls are over
 }
 
 func place(at map[string]int, name string) int {
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -173,6 +173,10 @@
 func TestUpgrade(t *testing.T) {
 	u := newUpgrade(t)
 	u.beside()
+	// Two are held and two are out: each is one process's, so that the sum is right.
+	waitFor(t, "the figures", func() bool {
+		return u.old.figure(t, "app_pending") == 2 && u.new.figure(t, "app_pending") == 2
+	})
 	u.put(u.kept, "late", fields("once", 20000, 1)) // taken on by the old one, sent by the new
 	u.delivered(u.quick, "late")
 	u.put(u.kept, "late5", fields("once", 20000, 5))
