--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -339,6 +339,14 @@
 }
 
 func startChild(t *testing.T, env map[string]string) *child {
+	t.Helper()
+	c := spawn(t, env)
+	c.ready(t)
+	return c
+}
+
+// spawn starts a relay in a process of its own and does not wait for it.
+func spawn(t *testing.T, env map[string]string) *child {
 	t.Helper()
 	c := &child{cmd: exec.Command(os.Args[0]), env: env}
 	c.cmd.Env = append(os.Environ(), childEnv+"=1")
@@ -350,7 +358,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.cmd.Process.Kill(); c.cmd.Wait() })
-	c.ready(t)
 	return c
 }
 
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -21,22 +20,6 @@
 	"troutusher/decide"
 )
 
-// spawn starts a relay in a process of its own and does not wait for it.
-func spawn(t *testing.T, env map[string]string) *child {
-	t.Helper()
-	c := &child{cmd: exec.Command(os.Args[0]), env: env}
-	c.cmd.Env = append(os.Environ(), childEnv+"=1")
-	for k, v := range env {
-		c.cmd.Env = append(c.cmd.Env, k+"="+v)
-	}
-	c.cmd.Stderr = testWriter{t}
-	if err := c.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.cmd.Process.Kill(); c.cmd.Wait() })
-	return c
-}
-
 // says reports whether a relay's own address says that it can serve.
 func (c *child) says(yes bool) bool {
 	resp, err := http.Get("http://" + c.env["ROUTER_OPERATOR"] + "/v1/readyz")
