Spread discovery's tries over the fleet, wait out its queue, watch on from the known list

A probe that waited 30 s for each answer shows why: discovery serves one call in 95 ms, in order, and turns away after 2 s in its queue (or at once, beyond some 45). 56 starts and the retries (16 to 24 a second) keep more than 2 s queued for good, so what it serves is always too late. To blame: the pause (0.4 to 5 s at each relay, whatever the fleet), discAnswer (hung up after 1 s, back at the end of the queue), and two calls a start. Mended: a first call and tries are spread over 0.05 and 0.1 s for each relay, an answer is waited for a quarter of that longer, and a start watches on from the known list: one call, no lines.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -58,6 +59,11 @@
 	Members  []Member `json:"members"`
 }
 
+// sound reports whether this is a whole list that can be used as it stands.
+func (l *List) sound() bool {
+	return l != nil && l.Complete && !slices.ContainsFunc(l.Members, func(m Member) bool { return m.check() != nil })
+}
+
 func parseList(text []byte) (*List, error) {
 	l := &List{}
 	if err := json.Unmarshal(text, l); err != nil {
@@ -82,18 +88,19 @@
 	discPause   = 200 * time.Millisecond  // before the next try
 	discAway    = 400 * time.Millisecond  // the same after one that was turned away; doubles with each in a row
 	discMost    = 5 * time.Second
-	listMost    = 4 << 20 // bytes of a list or a line
+	discTurn    = 100 * time.Millisecond // for each relay of the fleet: all may come at one moment, and are served in turn
+	listMost    = 4 << 20                // bytes of a list or a line
 )
 
 // newPlainClient makes a client for the agent on this machine: few kept
 // connections, no proxy, no second protocol.
-func newPlainClient(conns int) *http.Client {
+func newPlainClient(conns int, answer time.Duration) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:           (&net.Dialer{Timeout: discAnswer}).DialContext,
 			MaxIdleConnsPerHost:   conns,
 			MaxConnsPerHost:       conns,
-			ResponseHeaderTimeout: discAnswer,
+			ResponseHeaderTimeout: answer,
 			IdleConnTimeout:       30 * time.Second,
 			DisableCompression:    true,
 			Protocols:             http1(),
@@ -143,16 +150,24 @@
 	agent
 	log     *slog.Logger
 	client  *http.Client
+	answer  time.Duration // a call unanswered for so long has failed
 	silence time.Duration
 	news    func(*List) // called in order
-	refused func()      // called where a try was turned away; may be nil
+	refused func()      // called where a try was turned away or the first is put off; may be nil
 	random  func() float64
-	away    int // tries turned away in a row
+	all     time.Duration // what discovery takes to serve every relay of the fleet
+	known   *List         // what the first watch goes on from; nil for nothing
+	away    int           // tries turned away in a row
 }
 
-func newDiscovery(addr string, log *slog.Logger, news func(*List)) *discovery {
-	return &discovery{agent: agent{addr: addr}, log: log, client: newPlainClient(4), silence: discSilence, news: news,
-		random: rand.Float64}
+// newDiscovery makes the watch of one relay of so many. Where many ask at once
+// an answer waits for those before it: a relay that hangs up meanwhile and asks
+// again goes to the end of the queue and makes it longer.
+func newDiscovery(addr string, relays int, log *slog.Logger, news func(*List)) *discovery {
+	all := time.Duration(relays) * discTurn
+	answer := discAnswer + all/4
+	return &discovery{agent: agent{addr: addr}, log: log, client: newPlainClient(4, answer), answer: answer,
+		silence: discSilence, news: news, random: rand.Float64, all: all}
 }
 
 // run watches until ctx ends. What is heard is passed on with no delay: the
@@ -160,6 +175,16 @@
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
 	rev, whole := int64(0), false
+	if d.known.sound() { // a watch from there costs discovery one call, and only what has changed
+		rev, whole = d.known.Revision, true
+	}
+	// The whole fleet may be starting. Closer together than later tries: the
+	// known list may be old, and word of a drain counts as heard after some seconds.
+	first := time.Duration(float64(d.all) / 2 * d.random())
+	if first > discPause && d.refused != nil {
+		d.refused()
+	}
+	sleep(ctx, first)
 	for ctx.Err() == nil {
 		turn, cancel, addr := d.turn(ctx)
 		var err error
@@ -190,16 +215,17 @@
 var errAway = errors.New("turned away")
 
 // pause is how long to wait before the next try. Discovery that turns calls
-// away has too many: those of a whole fleet, which lost it at one moment. Each
-// try then comes later than the one before, and at a moment of its own.
+// away has too many: those of a whole fleet, which lost it at one moment. What
+// they send together has to stay under what it serves, or its queue never
+// empties: the spread of the tries grows with the fleet, and with each in a row.
 func (d *discovery) pause(err error) time.Duration {
 	away := errors.Is(err, errAway) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-	base := discPause // silent: the agent alone is asked, and a watch puts an end to the run
-	if away {
-		base = min(discAway<<min(d.away, 8), discMost)
-		d.away++
+	if !away { // silent: the agent alone is asked, and a watch puts an end to the run
+		return time.Duration(float64(discPause) * (0.5 + d.random()))
 	}
-	return time.Duration(float64(base) * (0.5 + d.random()))
+	base := min((discAway+d.all)<<min(d.away, 8), discMost+2*d.all)
+	d.away++
+	return discAway/2 + time.Duration(float64(base)*d.random())
 }
 
 // statusError tells of an answer other than 200.
@@ -221,7 +247,7 @@
 
 // fetch asks once for the whole list.
 func (d *discovery) fetch(ctx context.Context, addr string) (*List, error) {
-	ctx, cancel := context.WithTimeout(ctx, discAnswer)
+	ctx, cancel := context.WithTimeout(ctx, d.answer)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+listPath, nil)
 	if err != nil {
@@ -252,7 +278,7 @@
 func (d *discovery) watch(ctx context.Context, addr string, from int64) (rev int64, whole bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	quiet := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
+	quiet := time.AfterFunc(max(d.silence, d.answer), func() { cancel(errors.New("silent")) })
 	defer quiet.Stop()
 	url := "http://" + addr + listPath + "?watch=1&from=" + strconv.FormatInt(from, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -269,6 +295,7 @@
 		return from, errors.Is(err, errAway), err // turned away, it says nothing about the list
 	}
 	d.away = 0
+	quiet.Reset(d.silence)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), listMost)
 	for rev = from; lines.Scan(); {
@@ -327,7 +354,7 @@
 }
 
 func newNotices(addr string, log *slog.Logger, taken func(string)) *notices {
-	return &notices{agent: agent{addr: addr}, log: log, client: newPlainClient(2),
+	return &notices{agent: agent{addr: addr}, log: log, client: newPlainClient(2, discAnswer),
 		in: newMailbox[notice](), taken: taken}
 }
 
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -160,7 +160,8 @@
 	r.idleConns = max(2, (conns-cfg.Policy.Slots)/40)
 	r.notices = newNotices(cfg.Discovery, log, func(id string) { r.in.put(happening{noticed: id}) })
 	go r.notices.run(ctx)
-	disc := newDiscovery(cfg.Discovery, log, func(l *List) { r.in.put(happening{news: l}) })
+	disc := newDiscovery(cfg.Discovery, cfg.Policy.Relays, log, func(l *List) { r.in.put(happening{news: l}) })
+	disc.known = cfg.Known
 	disc.refused = func() { r.in.put(happening{refused: true}) }
 	go disc.run(ctx)
 	go func() {
