--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -214,7 +214,7 @@
 		d := newFakeDiscovery(t, m)
 		ctx, cancel := context.WithCancel(context.Background())
 		x := newDiscovery(d.addr(), 1, quietLog(), func(*List) {})
-		x.known, x.all, x.random = known, time.Second, func() float64 { return 0.3 }
+		x.known, x.all, x.random = known, time.Second, func() float64 { return 1 }
 		putOff, done := make(chan bool, 1), make(chan struct{})
 		x.refused = func() { putOff <- true }
 		go func() { defer close(done); x.run(ctx) }()
