Tell a full table of connections from an overload, and keep idle ones shorter at once

A probe of their heads: none holds a report, while 503 and 429 above a limit all do (1677 of 1677): the table of connections is full. 80 relays keep one each for 9 s at endpoints that hold 6 to 16. The relay took them for overload: it halved windows, guessed a limit, and held the endpoint to be out after the third; keep shortened only on NoConnect, which no refusal by 503 ever is, and then over 20 calls of a relay that makes one in seconds. Ruled out: the limit itself (the report of the same seconds shows room); endpoints gone (those refuse the connection). To blame: observe and keep in decide.go, and run in endpoints.go, which did not say whether the connection was new.

--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -116,7 +116,7 @@
 	ev := decide.Event{Message: e.Ticket, Endpoint: decide.Endpoint(e.Endpoint), Attempt: int(e.Attempt),
 		Took: decide.Time(e.Took), Outcome: outcomes[e.Status]}
 	if e.Reports > 0 {
-		ev.Load = decide.Load{Left: value(e, r.left), Limit: value(e, r.to)}
+		ev.Load = decide.Load{Left: value(e, r.left), Limit: value(e, r.to), Told: e.Reports > 0}
 	}
 	switch e.Code {
 	case wire.EvSync:
--- a/decide/api.go
+++ b/decide/api.go
@@ -211,6 +211,7 @@
 type Load struct {
 	Left  float64 // share of the allowance left
 	Limit float64 // calls a second that the limit allows; 0 where none is told
+	Told  bool    // the answer held a report at all
 }
 
 // Event is something that the relay tells its policy.
@@ -233,6 +234,7 @@
 	Wait     Time // EvOutcome: how long to wait; 0 when none is told
 	Took     Time
 	Load     Load
+	Fresh    bool // EvOutcome: the connection was opened for this call
 	Entries  []Entry
 
 	// EvMessage, of a message that an earlier process took on: its attempts so
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,8 @@
 	unsafeWait  = 4    // times as long a call of unsafe messages is waited for under slot pressure
 	heldReserve = 16   // one part in so many of the room is kept free
 	noConnTight = 0.05 // share of calls without a connection above which connections are taken to run out
-	tightSpan   = 20   // calls over which that share is told
+	tightRise   = 0.5  // weight of a call without one in that share: a relay sees few of what all do
+	tightSpan   = 100  // calls over which it falls again
 	overduePart = 0.33 // of the slots, held by calls that take longer than is usual: too many
 	silentMany  = 0.04 // share of calls with no answer above which hanging is held to be usual
 	silentSpan  = 50   // calls over which that share is told
@@ -432,8 +433,9 @@
 	if e.Load.Limit > 0 {
 		l.limit = e.Load.Limit
 	}
-	if t := &p.tight[l.dest.kindAt]; e.Outcome == NoConnect {
-		*t += (1 - *t) / tightSpan
+	p.reports = p.reports || e.Load.Told
+	if t := &p.tight[l.dest.kindAt]; e.Outcome == NoConnect || p.noRoom(e) {
+		*t += (1 - *t) * tightRise
 	} else {
 		*t -= *t / tightSpan
 	}
@@ -490,6 +492,12 @@
 	}
 }
 
+// noRoom: the endpoint holds as many connections as it can, and turned a new one away with its call. That
+// answer comes before its limit is looked at: it holds no report where others do.
+func (p *Policy) noRoom(e *Event) bool {
+	return e.Outcome == Full && e.Fresh && e.Wait == 0 && p.reports && !e.Load.Told
+}
+
 // ---- recovery
 
 // healthy books a success. In an outage it starts the ramp, if the call left after the last failure.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -772,6 +772,33 @@
 }
 
 // TestGoneAndMoved: what left or moved is not sent to, and is really let go.
+// A full table of connections is told by a 503 with no report on a new connection: one is enough for a relay of a
+// large fleet to keep idle ones for a short time. Refusals of any other sort tell nothing of it.
+func TestFullTableShortensIdleTime(t *testing.T) {
+	for _, c := range []struct {
+		relays      int
+		fresh, told bool
+		wait        Time
+		full        bool
+	}{{80, true, false, 0, true}, {80, false, false, 0, false}, {80, true, true, 0, false},
+		{80, true, false, second, false}, {2, true, false, 0, false}} {
+		s := one()
+		s.Relays = c.relays
+		r := newRig(t, s, ready(1, 1000))
+		for _, o := range []Event{{Outcome: Delivered, Settled: true, Load: Load{Left: 1, Limit: 1000, Told: true}},
+			{Outcome: Full, Fresh: c.fresh, Wait: c.wait, Load: Load{Told: c.told}}} {
+			r.step(r.message(0, 0))
+			e := answer(r.sends[0], o.Outcome)
+			e.Settled, e.Fresh, e.Wait, e.Load = o.Settled, o.Fresh, o.Wait, o.Load
+			r.step(e)
+			r.now += second
+		}
+		if short := r.p.keep(r.p.eps[1]) < s.KeepAlive/4; short != c.full {
+			t.Errorf("%+v: idle connections kept for %d", c, r.p.keep(r.p.eps[1]))
+		}
+	}
+}
+
 func TestGoneAndMoved(t *testing.T) {
 	r := newRig(t, one(), ready(1, 10), ready(2, 10))
 	r.p.failed(r.p.eps[1], r.now, true)
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -202,6 +202,7 @@
 	status  int
 	err     error
 	idle    time.Duration // for which its connection had been idle; 0 for one in use or new
+	fresh   bool          // its connection was opened for it
 	unsaved bool          // the attempt could not be logged, so it was not made
 }
 
@@ -287,10 +288,12 @@
 	ctx, cancel := context.WithTimeoutCause(c.ctx, limit, context.DeadlineExceeded)
 	defer cancel()
 	var idle atomic.Int64
+	var fresh atomic.Bool
 	var line atomic.Pointer[lineConn]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			idle.Store(int64(info.IdleTime))
+			fresh.Store(!info.Reused)
 			if conn, ok := info.Conn.(*lineConn); ok {
 				line.Store(conn)
 			}
@@ -314,7 +317,7 @@
 		return all(outcome{what: decide.NotSent, err: err})
 	}
 	resp, err := conns.RoundTrip(req)
-	o := outcome{took: time.Since(began).Microseconds(), idle: time.Duration(idle.Load())}
+	o := outcome{took: time.Since(began).Microseconds(), idle: time.Duration(idle.Load()), fresh: fresh.Load()}
 	if err != nil {
 		conn := line.Load()
 		o.what, o.err = c.failure(ctx, err, conn), err
@@ -438,9 +441,9 @@
 		}
 		switch name {
 		case "x0":
-			l.Left = v
+			l.Left, l.Told = v, true
 		case "x1":
-			l.Limit = v
+			l.Limit, l.Told = v, true
 		}
 	}
 	return l
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -367,7 +367,7 @@
 
 func TestReadLoad(t *testing.T) {
 	fields := []string{"x0", "x1"}
-	for s, want := range map[string]decide.Load{"x0=0.4,x1=25": {Left: 0.4, Limit: 25}, "x1=3": {Limit: 3}, "": {}, "x0=?,x1=-2": {}, "x1=NaN": {}} {
+	for s, want := range map[string]decide.Load{"x0=0.4,x1=25": {Left: 0.4, Limit: 25, Told: true}, "x1=3": {Limit: 3, Told: true}, "": {}, "x0=?,x1=-2": {}, "x1=NaN": {}} {
 		if got := readLoad(s, fields); got != want {
 			t.Errorf("%q: %+v", s, got)
 		}
@@ -385,3 +385,20 @@
 		}
 	}
 }
+
+// The policy is told whether a connection was opened for a call: a full table
+// of connections shows only there.
+func TestFreshConnection(t *testing.T) {
+	addr := rawEndpoint(t, func(c net.Conn) {
+		for in := bufio.NewReader(c); readCall(in); {
+			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	conns := testConns(t, 4)
+	defer conns.CloseIdleConnections()
+	for i, want := range []bool{true, false} {
+		if o := runOne(newTestCall(), conns, addr, &record{ID: "m"}, testLimit); o.fresh != want || o.what != decide.Full {
+			t.Errorf("call %d: fresh %v, %+v", i, o.fresh, o)
+		}
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -902,7 +902,7 @@
 // attempted books the end of an attempt.
 func (r *Relay) attempted(m *message, ep *endpoint, attempt int, o *outcome) {
 	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: attempt, Outcome: o.what, Wait: o.wait,
-		Slots: o.slots, Settled: o.settled || m.over, Took: o.took, Load: o.load}
+		Slots: o.slots, Settled: o.settled || m.over, Took: o.took, Load: o.load, Fresh: o.fresh}
 	if ep != nil {
 		e.Endpoint = ep.num
 	}
