Rest an endpoint with no room for a connection briefly; keep no connection for a seldom caller

A relay calls an agent every 3 s, so an idle connection of 0.25 s was never used again: 13700 connections for 13000 messages, each in another's place.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,6 +28,7 @@
 	scoreSick   = 0.6  // most calls fail: three in a row from a clean start pass it
 	restGrowth  = 3.0  // a rest after a failure, to the time since the first of the run, with many relays
 	fullRunSick = 2    // refusals in a row, half a fall time apart, with no success between: shut, not busy
+	crowdSick   = 5    // the same where it holds no more connections
 	budgetPart  = 1.0  // part of the fail-back budget that is used
 	sharerPart  = 2.0  // relays thought to want a trial, to the messages that an outage has kept waiting
 	unsafeWait  = 4    // times as long a call of unsafe messages is waited for under slot pressure
@@ -455,8 +456,13 @@
 		if l.bound {
 			l.boost = min(l.boost*boostRise, float64(p.set.Relays))
 		}
+		ep.crowd = 0
 		p.healthy(ep, c.sent)
 	case Full:
+		if p.noRoom(e) {
+			p.crowded(c)
+			break
+		}
 		l.window = max(l.window/2, 1)
 		l.boost = max(l.boost*boostFall, boostLeast)
 		if l.fullRun++; l.fullRun == 1 {
@@ -498,6 +504,21 @@
 	return e.Outcome == Full && e.Fresh && e.Wait == 0 && p.reports && !e.Load.Told
 }
 
+// crowded has an endpoint with no room for a connection rest for about as long as others hold theirs, then
+// ever longer, each relay for a time of its own. Only a long run is an outage: one that is shut may say so.
+func (p *Policy) crowded(c *call) {
+	ep := c.ep
+	if ep.crowd++; ep.crowd == 1 {
+		ep.crowdAt = p.now
+	}
+	gap := min(p.usual(ep.lane.dest)<<min(ep.crowd-1, 8), c.msgs[0].class.Aim)
+	ep.restUntil = p.now + Time(float64(gap)*(0.5+p.rng.Float64()))
+	if ep.crowd >= crowdSick && p.now-ep.crowdAt >= p.set.FallTime/2 {
+		ep.score = 1
+		p.failed(ep, c.sent, false)
+	}
+}
+
 // ---- recovery
 
 // healthy books a success. In an outage it starts the ramp, if the call left after the last failure.
@@ -759,12 +780,17 @@
 }
 
 // keep is how long an idle connection is kept. Where connections are seen to run out, what all relays keep
-// idle at an endpoint together is to be no more than two would keep. Harm: more connections opened.
+// idle at an endpoint together is to be no more than two would keep, and none where this relay is not likely
+// to call again within its part: it would only take another's place. Harm: more connections opened.
 func (p *Policy) keep(ep *endpoint) Time {
-	if p.tight[ep.lane.dest.kindAt] > noConnTight {
-		return p.set.KeepAlive * 2 / Time(max(p.set.Relays, 2))
+	if p.tight[ep.lane.dest.kindAt] <= noConnTight {
+		return p.set.KeepAlive
+	}
+	part := p.set.KeepAlive * 2 / Time(max(p.set.Relays, 2))
+	if calls, _ := ep.lane.hist.totals(p.now); calls*float64(part) < float64(historySpan) {
+		return min(p.set.Tick, part)
 	}
-	return p.set.KeepAlive
+	return part
 }
 
 // maySend: every guard on a message and an endpoint together.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -799,6 +799,81 @@
 	}
 }
 
+// untilSend has messages come until one is sent.
+func (r *rig) untilSend() {
+	r.t.Helper()
+	for i := 0; ; i++ {
+		if r.now += r.p.set.Tick; len(r.p.live) == 0 {
+			r.step(r.message(0, 0))
+		} else {
+			r.step()
+		}
+		if len(r.sends) > 0 {
+			return
+		}
+		if i == 10000 {
+			r.t.Fatal("nothing is sent")
+		}
+	}
+}
+
+// crowd has a relay of a fleet of 80 find no room for a connection so many times in a row.
+func crowd(t *testing.T, times int) *rig {
+	t.Helper()
+	s := one()
+	s.Relays = 80
+	r := newRig(t, s, ready(1, 1000))
+	r.untilSend()
+	e := answer(r.sends[0], Delivered)
+	e.Load = Load{Left: 1, Limit: 1000, Told: true}
+	r.step(e)
+	for range times {
+		r.untilSend()
+		e = answer(r.sends[0], Full)
+		e.Attempt, e.Fresh = r.p.msgs[e.Message].tries-1, true
+		r.step(e)
+	}
+	return r
+}
+
+// Where others hold the connections, an endpoint is asked again soon and is not held to be out: each call of a large
+// fleet opens one, and some chance on some find no room. A long run is an outage, as of one that is shut.
+func TestNoRoomIsNoOutage(t *testing.T) {
+	r := crowd(t, 2)
+	ep := r.p.eps[1]
+	if ep.sick || ep.score > 0 || ep.lane.nominal != 1000 || ep.lane.boost < 1 {
+		t.Errorf("after two: sick %v, score %v, nominal %v, boost %v", ep.sick, ep.score, ep.lane.nominal, ep.lane.boost)
+	}
+	if gap := ep.restUntil - r.now; gap <= 0 || gap > second {
+		t.Errorf("rests for %d", gap)
+	}
+	r.untilSend()
+	e := answer(r.sends[0], Delivered)
+	e.Attempt = r.p.msgs[e.Message].tries - 1
+	r.step(e)
+	if ep.crowd != 0 {
+		t.Error("a success does not end the run")
+	}
+	if r = crowd(t, 12); !r.p.eps[1].sick {
+		t.Error("twelve in a row are no outage")
+	}
+}
+
+// A relay that calls an endpoint seldom keeps no idle connection where tables are full: it would be of no use to it.
+func TestSeldomCallerKeepsNoConnection(t *testing.T) {
+	r := crowd(t, 1)
+	ep := r.p.eps[1]
+	if got := r.p.keep(ep); got > r.p.set.Tick {
+		t.Errorf("kept for %d at a call in seconds", got)
+	}
+	for range 100 {
+		ep.lane.hist.request(r.now)
+	}
+	if got, part := r.p.keep(ep), r.p.set.KeepAlive/40; got != part {
+		t.Errorf("kept for %d at many calls, want %d", got, part)
+	}
+}
+
 func TestGoneAndMoved(t *testing.T) {
 	r := newRig(t, one(), ready(1, 10), ready(2, 10))
 	r.p.failed(r.p.eps[1], r.now, true)
--- a/decide/state.go
+++ b/decide/state.go
@@ -81,6 +81,8 @@
 	restUntil Time // failing, but not yet held to be out
 	idleAt    Time // end of the last call
 	watched   bool // a look at its idle connections is put off
+	crowd     int  // calls in a row that found no room for a connection
+	crowdAt   Time // the first of them
 	score     float64
 	sick      bool
 	firstBad  Time
