Take no refusal that reports a limit for an outage

To blame: Full in observe: two refusals in a row 1.5 s apart. At 80 relays any two calls of one are as far apart.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -479,7 +479,8 @@
 		if e.Wait > 0 { // all who were told wake together: each comes at a moment of its own
 			l.pauseUntil = max(l.pauseUntil, p.now+e.Wait+Time(turn*float64(second)*p.rng.Float64()))
 		}
-		if e.Wait >= p.set.FallTime || l.fullRun >= fullRunSick && p.now-l.fullAt >= p.set.FallTime/2 {
+		long := l.fullRun >= fullRunSick && p.now-l.fullAt >= p.set.FallTime/2
+		if e.Wait >= p.set.FallTime || long && !e.Load.Told { // a limit reports its state
 			ep.score = 1 // shut, however seldom it was asked
 			p.failed(ep, c.sent, false)
 		}
@@ -694,7 +695,9 @@
 
 // depth is how many calls a lane may save up: as much as chance alone moves a second of what all relays
 // send there together, which the destination must stand anyway.
-func (p *Policy) depth(l *lane) float64 { return max(1, math.Sqrt(p.capacity(l))) }
+func (p *Policy) depth(l *lane) float64 {
+	return max(1, math.Sqrt(p.capacity(l)))
+}
 
 // dropped draws by the formula. A drop is counted and spends the lane's token; its message is ended at once.
 func (p *Policy) dropped(l *lane) bool {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -876,6 +876,26 @@
 	}
 }
 
+// Two refusals far apart with no success between are the word of one that is shut, unless they report a limit: a relay
+// of a large fleet calls so seldom that two of its calls in a row often meet a limit that the others have used up.
+func TestRefusalByALimitIsNoOutage(t *testing.T) {
+	for _, told := range []bool{false, true} {
+		s := one()
+		s.Relays = 80
+		r := newRig(t, s, ready(1, 1000))
+		for range 2 {
+			r.untilSend()
+			e := answer(r.sends[0], Full)
+			e.Attempt, e.Load = r.p.msgs[e.Message].tries-1, Load{Limit: 1000, Told: told}
+			r.step(e)
+			r.now += s.FallTime
+		}
+		if sick := r.p.eps[1].sick; sick == told {
+			t.Errorf("report %v: held to be out %v", told, sick)
+		}
+	}
+}
+
 func TestGoneAndMoved(t *testing.T) {
 	r := newRig(t, one(), ready(1, 10), ready(2, 10))
 	r.p.failed(r.p.eps[1], r.now, true)
