Pace each relay by its share alone, and give back the token of a call without a connection

The floor of the pace, half the root of the capacity, comes to 4 times a limit of 100 and 9 times one of 20 over 80 relays; boost stops at half, so that refusals cannot bring it under 1.5 times; and each saves up the root of the capacity in calls, together 8 to 18 s of the limit, all due at the end of an outage or a cut. To blame: pace, depth and boostLeast in decide.go. Mended: no floor; the root of a relay's share is saved up; boost may fall to half a share.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -464,7 +464,7 @@
 			break
 		}
 		l.window = max(l.window/2, 1)
-		l.boost = max(l.boost*boostFall, boostLeast)
+		l.boost = max(l.boost*boostFall, boostLeast*math.Pow(float64(p.set.Relays), shareRoot-1))
 		if l.fullRun++; l.fullRun == 1 {
 			l.fullAt = p.now
 		}
@@ -493,6 +493,7 @@
 		p.failed(ep, c.sent, true)
 	case NoConnect:
 		ep.conns = ep.flying
+		l.tokens.tokens++ // it took nothing of the limit
 		p.failed(ep, c.sent, true)
 	case Errored, Reset:
 		p.failed(ep, c.sent, false)
@@ -509,6 +510,7 @@
 // ever longer, each relay for a time of its own. Only a long run is an outage: one that is shut may say so.
 func (p *Policy) crowded(c *call) {
 	ep := c.ep
+	ep.lane.tokens.tokens++ // it took nothing of the limit
 	if ep.crowd++; ep.crowd == 1 {
 		ep.crowdAt = p.now
 	}
@@ -690,13 +692,13 @@
 		return float64(p.set.Slots) * 2
 	}
 	whole := p.capacity(l)
-	return max(whole/math.Pow(float64(p.set.Relays), shareRoot), math.Sqrt(whole)/2) * l.boost
+	return whole / math.Pow(float64(p.set.Relays), shareRoot) * l.boost
 }
 
 // depth is how many calls a lane may save up: as much as chance alone moves a second of what all relays
 // send there together, which the destination must stand anyway.
 func (p *Policy) depth(l *lane) float64 {
-	return max(1, math.Sqrt(p.capacity(l)))
+	return max(1, math.Sqrt(p.capacity(l)/float64(p.set.Relays)))
 }
 
 // dropped draws by the formula. A drop is counted and spends the lane's token; its message is ended at once.
