Draw trial calls evenly within their part, so that no relay's comes very late

To blame: the draws of need in failed and spend. With an even draw the fleet's calls spread over the gap as well, with the same mean, and none waits longer than one gap and a half. TestFleetBudget guards the sum over the fleet.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -554,7 +554,7 @@
 		if x == ep || !x.sick && x.okAt < ep.firstBad {
 			x.sick, x.mute, x.goodAt, x.badAt = true, mute, 0, p.now
 			x.budget, x.firstBad = bucket{}, ep.firstBad
-			x.budget.at, x.need = p.now, p.rng.ExpFloat64()
+			x.budget.at, x.need = p.now, p.rng.Float64()
 		}
 	}
 	p.logf("dest %d: seen failing, trial calls", ep.lane.dest.id)
@@ -669,7 +669,7 @@
 	rate, depth := p.budgetRate(ep)
 	ep.budget.take(p.now, ep.need, rate, max(depth, ep.need))
 	if ep.need = 1; depth < 1 {
-		ep.need = p.rng.ExpFloat64()
+		ep.need = 0.5 + p.rng.Float64()
 	}
 }
 
