Guess the limit of a destination not heard from by the lowest of its kind

One relay's log: three refused connections in 2 ms, its first calls there ever, and then no trial call for 24 s. With no report capacity is one call a second for all 80, and its part a trial call in 160 s. To blame: capacity. Tried and dropped: the same guess after a first refusal: where nothing is known yet, the first full table then paced the relay to a call in 26 s.

--- a/decide/api.go
+++ b/decide/api.go
@@ -59,6 +59,7 @@
 	Halving        bool
 	OverShareWorth float64 // part of its worth that a message beyond its tenant's share keeps
 	WorthByWork    bool
+	Reports        bool    // answers hold load reports
 	RatesListed    bool    // list entries carry the calls a second that a destination takes
 	Probes         bool    // probes are allowed
 	Cancels        bool    // calling off an attempt is allowed
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -434,7 +434,6 @@
 	if e.Load.Limit > 0 {
 		l.limit = e.Load.Limit
 	}
-	p.reports = p.reports || e.Load.Told
 	if t := &p.tight[l.dest.kindAt]; e.Outcome == NoConnect || p.noRoom(e) {
 		*t += (1 - *t) * tightRise
 	} else {
@@ -503,7 +502,7 @@
 // noRoom: the endpoint holds as many connections as it can, and turned a new one away with its call. That
 // answer comes before its limit is looked at: it holds no report where others do.
 func (p *Policy) noRoom(e *Event) bool {
-	return e.Outcome == Full && e.Fresh && e.Wait == 0 && p.reports && !e.Load.Told
+	return e.Outcome == Full && e.Fresh && e.Wait == 0 && p.set.Reports && !e.Load.Told
 }
 
 // crowded has an endpoint with no room for a connection rest for about as long as others hold theirs, then
@@ -677,7 +676,22 @@
 
 // capacity is the calls a second that the lane takes from all relays, by report, list or observation.
 func (p *Policy) capacity(l *lane) float64 {
-	return cmp.Or(l.limit, l.nominal, max(l.hist.acceptRate(p.now)*float64(p.set.Relays), 1))
+	own := l.hist.acceptRate(p.now) * float64(p.set.Relays)
+	return cmp.Or(l.limit, l.nominal, max(own, p.leastLimit(l.dest), 1))
+}
+
+// leastLimit is the lowest limit that destinations of one kind have reported: the guess, on the safe side,
+// for one that this relay has not heard from. Each of a large fleet calls most of them seldom.
+func (p *Policy) leastLimit(of *dest) float64 {
+	least := 0.0
+	for _, d := range p.dests {
+		for _, l := range d.lanes {
+			if d.kindAt == of.kindAt && l.limit > 0 && (least == 0 || l.limit < least) {
+				least = l.limit
+			}
+		}
+	}
+	return least
 }
 
 // growth is a rest to the age of a run of failures: less where few relays send there much each.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -12,7 +12,7 @@
 // one returns settings for a relay with one safe class and one kind of destination.
 func one() Settings {
 	return Settings{Relays: 2, Slots: 8, MaxHeld: 100, MaxAttempts: 9, Halving: true, OverShareWorth: 0.1,
-		RatesListed: true, Probes: true, Cancels: true, RetryAfter: true, MaxRetryAfter: 2 * second, Tick: 5000,
+		Reports: true, RatesListed: true, Probes: true, Cancels: true, RetryAfter: true, MaxRetryAfter: 2 * second, Tick: 5000,
 		AnswerSlack: 20000, DrainGrace: second, StartCapacity: 0.2, RampTime: 10 * second, OverloadFactor: 2,
 		FallTime: 3 * second, KeepAlive: 10 * second, ConnectTimeout: second, Kinds: []Kind{{Batch: 1}},
 		Classes: []Class{{Name: "m", Aim: 2 * second, Deadline: 20 * second, Worth: 1, LateWorth: 0.3}}}
@@ -932,6 +932,45 @@
 	}
 }
 
+// A relay of a large fleet meets an outage at a destination that it has never heard from. Its trial calls are paced by
+// the lowest limit that others of the kind reported, not by one call a second for all relays together.
+func TestTrialsWhereNothingWasHeard(t *testing.T) {
+	s := one()
+	s.Relays, s.RatesListed, s.Kinds = 80, false, []Kind{{Batch: 1}, {Batch: 1}}
+	entry := func(id Endpoint, dest, kind int) Entry {
+		return Entry{Endpoint: id, Dest: dest, Kind: kind, State: Ready}
+	}
+	r := newRig(t, s, entry(1, 0, 0), entry(2, 1, 0), entry(3, 2, 0), entry(4, 3, 1))
+	for dest, limit := range []float64{30, 90} {
+		r.step(r.message(0, dest))
+		e := answer(r.sends[0], Delivered)
+		e.Load = Load{Left: 1, Limit: limit, Told: true}
+		r.step(e)
+	}
+	for id, want := range map[Endpoint]float64{1: 30, 2: 90, 3: 30, 4: 1} {
+		if got := r.p.capacity(r.p.eps[id].lane); got != want {
+			t.Errorf("endpoint %d: held to take %v a second, want %v", id, got, want)
+		}
+	}
+	tries := 0
+	for range 20000 { // it fails for 100 s
+		if r.now += s.Tick; len(r.p.live) == 0 {
+			r.step(r.message(0, 2))
+		} else {
+			r.step()
+		}
+		for len(r.sends) > 0 {
+			e := answer(r.sends[0], NoConnect)
+			e.Attempt = r.p.msgs[e.Message].tries - 1
+			r.step(e)
+			tries++
+		}
+	}
+	if tries < 10 || tries > 40 {
+		t.Errorf("%d tries in 100 s", tries)
+	}
+}
+
 func TestGoneAndMoved(t *testing.T) {
 	r := newRig(t, one(), ready(1, 10), ready(2, 10))
 	r.p.failed(r.p.eps[1], r.now, true)
--- a/decide/state.go
+++ b/decide/state.go
@@ -31,7 +31,6 @@
 	lat     latency   // of all answers
 	silent  float64   // share of calls that ended with no answer
 	pressed Time      // since when messages wait and every slot is taken; 0 for not
-	reports bool      // answers have held reports
 	drained Time      // since when the operators have it emptied; 0 for not
 }
 
--- a/internal/relay/config_test.go
+++ b/internal/relay/config_test.go
@@ -48,3 +48,18 @@
 		t.Errorf("budget %d and %d of 256", clients, endpoints)
 	}
 }
+
+// Whether answers hold reports is told by the settings: what an answer without one says depends on it.
+func TestReportsTold(t *testing.T) {
+	for how, want := range map[string]bool{"none": false, "probe": false, "answers": true} {
+		text := strings.Replace(testSettings, `"report":{"fields":[],"how":"none"}`, `"report":{"fields":["x0"],"how":"`+how+`"}`, 1)
+		c, err := parseConfig([]byte(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","state":"x","seed":"1","settings":`+
+			text+`}`), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.Policy.Reports != want {
+			t.Errorf("%s: %v", how, c.Policy.Reports)
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -354,6 +354,7 @@
 	} `json:"limits"`
 	OverShareWorth float64 `json:"over_share_worth"`
 	Report         struct {
+		How    string   `json:"how"`
 		Fields []string `json:"fields"`
 	} `json:"report"`
 	Safety struct {
