Guess an unheard destination's limit for trial calls alone

To blame: capacity took the guess for rests, depth and pace as well, where 1 is right until something is heard.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -584,6 +584,9 @@
 	}
 	fall := float64(max(p.set.FallTime, second)) / float64(second)
 	whole := p.capacity(ep.lane)
+	if ep.lane.limit == 0 && ep.lane.nominal == 0 { // a small guess would be shared out to next to nothing
+		whole = min(max(whole, p.leastLimit(ep.lane.dest)), max(whole, float64(p.set.Relays)))
+	}
 	age := float64(p.now-ep.firstBad)/float64(second) + fall
 	sharers := min(float64(p.set.Relays), max(1, sharerPart*whole*age))
 	b := budgetPart * p.set.OverloadFactor * p.ramped(ep) * whole / float64(max(n, 1)) * fall / sharers
@@ -676,8 +679,7 @@
 
 // capacity is the calls a second that the lane takes from all relays, by report, list or observation.
 func (p *Policy) capacity(l *lane) float64 {
-	own := l.hist.acceptRate(p.now) * float64(p.set.Relays)
-	return cmp.Or(l.limit, l.nominal, max(own, p.leastLimit(l.dest), 1))
+	return cmp.Or(l.limit, l.nominal, max(l.hist.acceptRate(p.now)*float64(p.set.Relays), 1))
 }
 
 // leastLimit is the lowest limit that destinations of one kind have reported: the guess, on the safe side,
