Ask discovery inside the grace of a drain, whatever the fleet's size

Ruled out: discovery turning calls away (no such line), calls that wait for a connection, and the list itself, which came with the first watch. At fault: discovery.go, first calls spread over 50 ms and tries over 100 ms a relay with no bound: 15 s and 30 s at 300, where word counts as told from the start on, 4 s after a SIGHUP, 6 s at the latest, with a grace of 2 s. An answer was waited for 8.5 s. A pause outlasted a move of discovery.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -89,6 +89,9 @@
 	discAway    = 400 * time.Millisecond  // the same after one that was turned away; doubles with each in a row
 	discMost    = 5 * time.Second
 	discTurn    = 100 * time.Millisecond // for each relay of the fleet: all may come at one moment, and are served in turn
+	discStart   = time.Second            // within which a start asks: what drains must be left 2 s after its agent has word of it
+	discTold    = 4 * time.Second        // within which a second try comes: after a move word counts as heard by then
+	discQueue   = 2 * time.Second        // that an answer is waited for longer, however large the fleet
 	listMost    = 4 << 20                // bytes of a list or a line
 )
 
@@ -165,7 +168,7 @@
 // again goes to the end of the queue and makes it longer.
 func newDiscovery(addr string, relays int, log *slog.Logger, news func(*List)) *discovery {
 	all := time.Duration(relays) * discTurn
-	answer := discAnswer + all/4
+	answer := discAnswer + min(all/4, discQueue)
 	return &discovery{agent: agent{addr: addr}, log: log, client: newPlainClient(4, answer), answer: answer,
 		silence: discSilence, news: news, random: rand.Float64, all: all}
 }
@@ -178,13 +181,13 @@
 	if d.known.sound() { // a watch from there costs discovery one call, and only what has changed
 		rev, whole = d.known.Revision, true
 	}
-	// The whole fleet may be starting. Closer together than later tries: the
-	// known list may be old, and word of a drain counts as heard after some seconds.
-	first := time.Duration(float64(d.all) / 2 * d.random())
+	first := d.first()
 	if first > discPause && d.refused != nil {
 		d.refused()
 	}
-	sleep(ctx, first)
+	turn, cancel, _ := d.turn(ctx)
+	sleep(turn, first)
+	cancel()
 	for ctx.Err() == nil {
 		turn, cancel, addr := d.turn(ctx)
 		var err error
@@ -198,32 +201,42 @@
 		if whole {
 			rev, whole, err = d.watch(turn, addr, rev)
 		}
-		moved := turn.Err() != nil
-		cancel()
-		if ctx.Err() == nil && !moved {
+		if turn.Err() == nil {
 			pause := d.pause(err)
 			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "pause_ms", pause.Milliseconds(), "err", err)
 			if d.away > 0 && d.refused != nil {
 				d.refused()
 			}
-			sleep(ctx, pause)
+			sleep(turn, pause)
+		}
+		if turn.Err() != nil {
+			d.away = 0 // it has moved: what turned calls away is left
 		}
+		cancel()
 	}
 }
 
 // errAway is a status by which discovery turns a call away.
 var errAway = errors.New("turned away")
 
+// first is how long a start puts off its first call. The whole fleet may be
+// starting, but whatever the agent has by now counts as told to this relay,
+// and the known list may be old.
+func (d *discovery) first() time.Duration {
+	return time.Duration(float64(min(d.all/2, discStart)) * d.random())
+}
+
 // pause is how long to wait before the next try. Discovery that turns calls
 // away has too many: those of a whole fleet, which lost it at one moment. What
 // they send together has to stay under what it serves, or its queue never
 // empties: the spread of the tries grows with the fleet, and with each in a row.
+// The first spread leaves time for word of a drain; the next make up for it.
 func (d *discovery) pause(err error) time.Duration {
 	away := errors.Is(err, errAway) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	if !away { // silent: the agent alone is asked, and a watch puts an end to the run
 		return time.Duration(float64(discPause) * (0.5 + d.random()))
 	}
-	base := min((discAway+d.all)<<min(d.away, 8), discMost+2*d.all)
+	base := min(min(discAway+d.all, discTold)<<min(d.away, 8), discMost+2*d.all)
 	d.away++
 	return discAway/2 + time.Duration(float64(base)*d.random())
 }
