Hold back calls that wait for a connection when their destination tells a wait

Of 83,315 requests written, exactly one went out under a wait that its relay knew: n9, destination 6, at 12.344, 0.103 s after the wait was told, 0.487 s before its end, on a connection that took 1001 ms to come up across the cut: (12.344, 'n9.log', '6', 'since told', 0.103, 'left', 0.487, 'dial_ms', '1001') Ruled out: a wait in an answer that broke off, or one to a call already given up (the trace has the wait as heard); the policy (no other of the writes, and this one was begun before the word). At fault: loop.go, finished: a told wait reached the policy alone, and calls begun before it still went out. Drains were already guarded against that. Mend: such calls are held back, and so is a batch whose clients hear only then.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -46,6 +46,7 @@
 	gone     bool // drained or removed: nothing new goes there
 	goneAt   decide.Time
 	answerAt decide.Time // when it last answered at all
+	waitOver decide.Time // of what it, or one that shares its limit, told to wait
 	conns    *http.Transport
 	idle     idleWatch
 	calls    map[*call]bool
@@ -168,6 +169,7 @@
 var (
 	errCancelled = errors.New("cancelled")
 	errDrained   = errors.New("endpoint drained")
+	errToldWait  = errors.New("endpoint told to wait")
 )
 
 // part is one message's share in a call.
@@ -220,10 +222,10 @@
 	}
 }
 
-// drained stops the call if its first byte is not written yet.
-func (c *call) drained() {
+// holdBack stops the call if its first byte is not written yet.
+func (c *call) holdBack(why error) {
 	if c.stage.CompareAndSwap(callWaiting, callStopped) {
-		c.stop(errDrained)
+		c.stop(why)
 	}
 }
 
@@ -298,7 +300,7 @@
 				line.Store(conn)
 			}
 			if !c.stage.CompareAndSwap(callWaiting, callSending) && c.stage.Load() == callStopped {
-				cancel() // a drain came first
+				cancel() // a drain or a wait came first
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -269,7 +269,7 @@
 	}
 	defer conns.CloseIdleConnections()
 	c := newTestCall()
-	go func() { <-dialing; c.drained() }()
+	go func() { <-dialing; c.holdBack(errDrained) }()
 	o := runOne(c, conns, ep.addr(), &record{ID: "m"}, testLimit)
 	if o.what != decide.NotSent || o.took > testLimit.Microseconds()/2 {
 		t.Errorf("got %+v", o)
@@ -291,11 +291,48 @@
 	// What is under way already is not stopped.
 	under := newTestCall()
 	under.stage.Store(callSending)
-	if under.drained(); under.ctx.Err() != nil {
+	if under.holdBack(errDrained); under.ctx.Err() != nil {
 		t.Error("a call with bytes under way was stopped")
 	}
 }
 
+// Guards told waits where a connection takes long to come up, as across a cut:
+// a call begun before the word, to the same destination, must not go out after
+// it. What goes elsewhere, or is under way already, is let through.
+func TestToldWaitStopsWaitingCalls(t *testing.T) {
+	r := newTestRelay(t)
+	add := func(id string, cell int) *endpoint {
+		r.member(&Member{ID: id, HostPort: "127.0.0.1:1", Flavor: "k", Cell: cell, Phase: phaseUp})
+		return r.endpoints[id]
+	}
+	one, twin, other := add("one", 1), add("twin", 1), add("other", 2)
+	begin := func(ep *endpoint, stage int32) *call {
+		m := r.newMessage(&record{ID: fmt.Sprint(len(r.msgs)), Class: "plain", Dest: ep.cell})
+		c := newTestCall()
+		c.ep, c.conns, c.parts = ep, ep.conns, []part{{m: m}}
+		c.stage.Store(stage)
+		ep.calls[c] = true
+		return c
+	}
+	told := begin(one, callWritten)
+	calls := map[*call]bool{begin(one, callWaiting): true, begin(twin, callWaiting): true,
+		begin(one, callSending): false, begin(other, callWaiting): false}
+	r.finished(told, []outcome{{what: decide.Full, status: http.StatusTooManyRequests, wait: 600e6}})
+	for c, stopped := range calls {
+		if got := c.ctx.Err() != nil; got != stopped || got && c.failure(c.ctx, c.ctx.Err(), nil) != decide.NotSent {
+			t.Errorf("%s, stage %d: stopped %v", c.ep.id, c.stage.Load(), got)
+		}
+	}
+	// A batch that the policy let go before the word, and whose client hears only now.
+	late := r.newMessage(&record{ID: "late", Class: "plain", Dest: 1})
+	late.heard = true
+	b := &batch{ep: twin, sends: []send{{late, r.now() + 900e6}}}
+	late.pending = b
+	if r.launch(b); late.call != nil || len(twin.calls) != 1 {
+		t.Error("a call begins under the wait")
+	}
+}
+
 // Guards against connections that died in silence: after a machine was away,
 // what is idle to it is given up; one slow call among others is no reason.
 func TestSuspect(t *testing.T) {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -599,13 +599,30 @@
 		ep.gone, ep.goneAt = true, r.now()
 	}
 	for c := range ep.calls {
-		c.drained()
+		c.holdBack(errDrained)
 	}
 	if ep.conns != nil {
 		ep.conns.CloseIdleConnections()
 	}
 }
 
+// toldWait lets nothing new go to an endpoint, and to those that share its
+// limit, before a wait is over. The policy begins no call in that time, but one
+// that it began before may still wait for its connection or its clients.
+func (r *Relay) toldWait(ep *endpoint, wait decide.Time) {
+	kinds, kind := r.cfg.Policy.Kinds, ep.entry.Kind
+	apart := kind >= 0 && kind < len(kinds) && kinds[kind].Apart
+	for _, x := range r.endpoints {
+		if x != ep && (apart || x.cell != ep.cell) {
+			continue
+		}
+		x.waitOver = max(x.waitOver, r.now()+wait)
+		for c := range x.calls {
+			c.holdBack(errToldWait)
+		}
+	}
+}
+
 // show publishes the gauges.
 func (r *Relay) show() {
 	r.shownAt = r.now()
@@ -820,7 +837,7 @@
 		}
 		m.pending = nil
 		b.remove(m)
-		if ep.gone || ep.cell != m.rec.Dest || s.at <= now || m.over {
+		if ep.gone || ep.cell != m.rec.Dest || ep.waitOver > now || s.at <= now || m.over {
 			r.notSent(m, ep)
 			continue
 		}
@@ -886,6 +903,9 @@
 		c.ep.idle.book(o.idle, reset, now)
 		r.idle.book(o.idle, reset, now)
 	}
+	if o.wait > 0 {
+		r.toldWait(c.ep, o.wait)
+	}
 	if c.ep.suspect(o, now) {
 		c.ep.conns.CloseIdleConnections()
 	}
