Stop a call that still waits for its connection when one of its messages ends

Over all relays' logs, 60 ids are written after their end, all in calls of several messages on connections that took 1 s to come up, at the end of the cut. At fault: endpoints.go, drop: the call goes on for its other messages, with the ended one in its body. Also run: net/http writes a request whose context ends as its connection comes up.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -210,6 +210,7 @@
 
 // drop gives up the wait for one message. The call itself goes on for as long
 // as another message waits for it: closing its connection would end them all.
+// But one with no byte written goes no further, since the message may be over.
 func (c *call) drop(m *message) {
 	waiting := false
 	for i := range c.parts {
@@ -217,7 +218,7 @@
 		p.dropped = p.dropped || p.m == m
 		waiting = waiting || !p.dropped
 	}
-	if !waiting {
+	if unsent := c.stage.CompareAndSwap(callWaiting, callStopped); unsent || !waiting {
 		c.stop(errCancelled)
 	}
 }
@@ -232,7 +233,20 @@
 // payload is a request body that net/http cannot rewind and so never sends
 // twice by itself. An Idempotency-Key makes a POST replayable to it, where it
 // could get the body again or there is none.
-type payload struct{ *bytes.Reader }
+//
+// What is stopped just as its connection comes up is not written: net/http
+// itself no longer looks.
+type payload struct {
+	ctx  context.Context
+	text *bytes.Reader
+}
+
+func (p payload) Read(b []byte) (int, error) {
+	if err := p.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return p.text.Read(b)
+}
 
 func (payload) Close() error { return nil }
 
@@ -267,7 +281,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Body = payload{bytes.NewReader(body)} // also when empty: a missing body may be replayed
+	req.Body = payload{ctx, bytes.NewReader(body)} // also when empty: a missing body may be replayed
 	req.ContentLength = int64(len(body))
 	if len(recs) > 1 {
 		req.Header.Set("Content-Type", "application/json")
@@ -381,9 +395,9 @@
 // it is certain: no connection, or one that broke before the last byte.
 func (c *call) failure(ctx context.Context, err error, conn *lineConn) decide.Outcome {
 	switch stage := c.stage.Load(); {
-	case stage == callStopped:
+	case stage == callStopped && !errors.Is(context.Cause(ctx), errCancelled):
 		return decide.NotSent
-	case stage == callWaiting:
+	case stage == callStopped || stage == callWaiting: // none came up while it was waited for
 		return decide.NoConnect
 	case stage == callSending && c.broken.Load() && ctx.Err() == nil:
 		return decide.NoConnect
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -176,6 +176,7 @@
 	a, b := &message{}, &message{}
 	c := newTestCall()
 	c.parts = []part{{m: a}, {m: b}}
+	c.stage.Store(callWritten)
 	if c.drop(a); c.ctx.Err() != nil {
 		t.Error("one message given up ended the call of another")
 	}
@@ -296,6 +297,45 @@
 	}
 }
 
+// Guards the end of a message whose call still waits for a connection: the call
+// must not go out with it later. The others in it are tried anew.
+func TestEndedMessageIsNotSent(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	dialing, release, up := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	conns := testConns(t, 2)
+	conns.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		close(dialing)
+		<-release
+		defer close(up)
+		return net.Dial(network, addr)
+	}
+	c := newTestCall()
+	over := &message{}
+	c.parts = []part{{m: over}, {m: &message{}}}
+	go func() { <-dialing; c.drop(over) }()
+	for _, o := range c.run(conns, ep.addr(), []*record{{ID: "over"}, {ID: "other"}}, testLimit, nil) {
+		if o.what != decide.NoConnect || o.took > testLimit.Microseconds()/2 {
+			t.Errorf("got %+v", o)
+		}
+	}
+	close(release)
+	<-up
+	conns.CloseIdleConnections()
+	if n := ep.count("over"); n != 0 {
+		t.Errorf("it went out %d times", n)
+	}
+	// The end may also come just as the connection does.
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := newCallRequest(ctx, ep.addr(), []*record{{ID: "over", body: []byte("text")}}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if n, err := req.Body.Read(make([]byte, 8)); n != 0 || err == nil {
+		t.Errorf("%d bytes of a stopped call are written, %v", n, err)
+	}
+}
+
 // Guards told waits where a connection takes long to come up, as across a cut:
 // a call begun before the word, to the same destination, must not go out after
 // it. What goes elsewhere, or is under way already, is let through.
