--- a/decide/decide.go
+++ b/decide/decide.go
@@ -499,11 +499,13 @@
 	}
 }
 
+// The pace of a lane grows with a success that it had kept waiting and falls with a refusal. A relay that
+// calls often does so in small steps. For one that calls seldom they would take longer than an overload may
 // The pace of a lane grows with a success that it had kept waiting and falls with a refusal. A relay that
 // calls often does so in small steps. For one that calls seldom they would take longer than an overload may
 // last, and where refused calls use the limit up nothing is delivered meanwhile. So a step goes by the time
 // since the last: a refusal brings a seldom caller down to where all relays together keep to the limit, and a
-// success lets it grow by the share of the allowance that is left: all who do so stay inside it together.
+// success lets it grow by the share of the allowance that is left, which is none where others have used it.
 
 func (p *Policy) quicken(l *lane, told Load) {
 	seldom := p.seldom(l)
