--- a/internal/relay/wal_test.go
+++ b/internal/relay/wal_test.go
@@ -118,6 +118,42 @@
 	}
 }
 
+// Guards against a kill at any moment: a log cut at any byte gives back every
+// message whose record is whole, and the relay goes on writing after it.
+func TestWALCutAnywhere(t *testing.T) {
+	dir := t.TempDir()
+	w, _ := openTestWAL(t, dir, 1<<20)
+	var ends []int
+	for _, id := range []string{"a", "b"} {
+		mustAppend(t, w, taken(id, "body of "+id))
+		ends = append(ends, int(w.size))
+	}
+	path := filepath.Join(dir, walName)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := range len(text) + 1 {
+		if err := os.WriteFile(path, text[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		want := 0
+		for _, end := range ends {
+			if cut >= end {
+				want++
+			}
+		}
+		w, owed := openTestWAL(t, dir, 1<<20)
+		if len(owed) != want {
+			t.Fatalf("cut at %d of %d: %d messages, want %d", cut, len(text), len(owed), want)
+		}
+		mustAppend(t, w, taken("z", "Z"))
+		if _, owed = openTestWAL(t, dir, 1<<20); len(owed) != want+1 {
+			t.Fatalf("cut at %d: then %d messages", cut, len(owed))
+		}
+	}
+}
+
 // Guards the disk: old and new log together stay under the limit at every
 // moment, and what was taken on can be ended even when nothing more fits.
 func TestWALBounded(t *testing.T) {
