Put zones into regions in the list service, and find members by address

Need: the state machine is to hold zones, which evacuations by zone and region stand on; and each registration sorted all members' ids to find one at the same address, a cost that grows with the list.

An index by address, made anew from the members where it is missing. A test's writer no longer looks for the leader in a slice that the test writes to (found by the race detector).

--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -23,6 +23,7 @@
 	StatusPath     = "/v1/status"
 	SnapshotPath   = "/v1/snapshot"
 	ConfirmPath    = "/v1/lapse/confirm"
+	ZonesPath      = "/v1/zones"
 )
 
 // Headers of answers.
@@ -53,6 +54,13 @@
 	If      int64   `json:"if,omitempty"` // only where the member's last change is this
 }
 
+// ZoneStatus is a zone, its region (empty for none) and its members.
+type ZoneStatus struct {
+	Zone
+	Members  int `json:"members"`
+	Draining int `json:"draining"`
+}
+
 // Beat is a heartbeat of one registration.
 type Beat struct {
 	ID     string `json:"id"`
@@ -91,6 +99,8 @@
 	mux.HandleFunc("DELETE "+MembersPath+"/{id}", n.leaderOnly(n.deleteMember))
 	mux.HandleFunc("POST "+HeartbeatsPath, n.leaderOnly(n.postBeats))
 	mux.HandleFunc("POST "+ConfirmPath, n.leaderOnly(n.postConfirm))
+	mux.HandleFunc("GET "+ZonesPath, n.getZones)
+	mux.HandleFunc("POST "+ZonesPath, n.leaderOnly(n.postZone))
 	mux.HandleFunc("GET "+StatusPath, n.getStatus)
 	mux.HandleFunc("GET "+SnapshotPath, n.leaderOnly(n.getSnapshot))
 	mux.HandleFunc("PUT "+SnapshotPath, n.leaderOnly(n.putSnapshot))
@@ -326,6 +336,26 @@
 	say(w, http.StatusOK, members)
 }
 
+// getZones tells of the zones, as this node has them.
+func (n *Node) getZones(w http.ResponseWriter, _ *http.Request) {
+	_, epoch, revision := n.store.members()
+	n.mark(w, epoch, revision)
+	say(w, http.StatusOK, n.store.zones())
+}
+
+// postZone puts a zone into a region; without one, out of any.
+func (n *Node) postZone(w http.ResponseWriter, r *http.Request) {
+	var z Zone
+	if !read(w, r, &z) {
+		return
+	}
+	if z.Name == "" || len(z.Name) > idMost || len(z.Region) > idMost {
+		refuse(w, http.StatusBadRequest, "name: 1 to %d bytes are wanted, and no more for a region", idMost)
+		return
+	}
+	n.settle(w, r, Command{Op: OpZone, Zone: z.Name, Region: z.Region})
+}
+
 func (n *Node) getStatus(w http.ResponseWriter, _ *http.Request) {
 	members, epoch, revision := n.store.members()
 	leader, _ := n.leader()
--- a/internal/registry/command/ctl.go
+++ b/internal/registry/command/ctl.go
@@ -35,7 +35,7 @@
 	root.PersistentFlags().StringSliceVar(&x.nodes, "nodes", []string{"127.0.0.1:7800"}, "nodes of the group")
 	root.PersistentFlags().BoolVar(&x.json, "json", false, "JSON in place of a table")
 	root.PersistentFlags().DurationVar(&x.wait, "wait", 10*time.Second, "for an answer")
-	root.AddCommand(x.members(), x.status(), x.snapshot(), x.lapses())
+	root.AddCommand(x.members(), x.status(), x.snapshot(), x.lapses(), x.zones())
 	return run(ctx, root, args, out, errOut)
 }
 
@@ -176,6 +176,27 @@
 	return c
 }
 
+func (x *ctl) zones() *cobra.Command {
+	c := &cobra.Command{Use: "zones", Short: "The zones that endpoints stand in, and their regions"}
+	list := &cobra.Command{Use: "list", Short: "List them", Args: exactly(0), RunE: func(c *cobra.Command, _ []string) error {
+		var all []registry.ZoneStatus
+		if _, err := x.ask(c, http.MethodGet, registry.ZonesPath, nil, &all); err != nil {
+			return err
+		}
+		return x.show(c, all, func(w io.Writer) {
+			fmt.Fprintln(w, "ZONE\tREGION\tMEMBERS\tDRAINING")
+			for _, z := range all {
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", z.Name, z.Region, z.Members, z.Draining)
+			}
+		})
+	}}
+	set := &cobra.Command{Use: "set ZONE REGION", Short: "Put a zone into a region; \"\" for none", Args: exactly(2), RunE: func(c *cobra.Command, args []string) error {
+		return x.change(c, http.MethodPost, registry.ZonesPath, registry.Zone{Name: args[0], Region: args[1]})
+	}}
+	c.AddCommand(list, set)
+	return c
+}
+
 func (x *ctl) lapses() *cobra.Command {
 	c := &cobra.Command{Use: "lapses", Short: "Lapses that are held back, since too many came at once"}
 	confirm := &cobra.Command{Use: "confirm", Short: "Let them lapse", Args: exactly(0), RunE: func(c *cobra.Command, _ []string) error {
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -46,6 +46,12 @@
 	Size    float64 `toml:"size"`
 }
 
+// Zone says which region a zone is in.
+type Zone struct {
+	Name   string `toml:"name" json:"name"`
+	Region string `toml:"region" json:"region"`
+}
+
 // Config is what a node is told.
 type Config struct {
 	ID       string   `toml:"id"`
@@ -57,6 +63,7 @@
 	Peers    []Peer   `toml:"peers"`
 	Lapse    Lapse    `toml:"lapse"`
 	Members  []Static `toml:"members"`
+	Zones    []Zone   `toml:"zones"`
 	Watchers int      `toml:"watchers"`
 
 	tune func(*raft.Config)                // tests alone
@@ -166,6 +173,16 @@
 	if i < 0 {
 		return fmt.Errorf("peers: none of them is %s, this node", c.ID)
 	}
+	zones := map[string]bool{}
+	for i, z := range c.Zones {
+		if z.Name == "" || z.Region == "" {
+			return fmt.Errorf("zones[%d]: name and region are wanted", i)
+		}
+		if zones[z.Name] {
+			return fmt.Errorf("zones[%d].name: %s is told twice", i, z.Name)
+		}
+		zones[z.Name] = true
+	}
 	for i, m := range c.Members {
 		d := m.member()
 		if err := d.Check(); err != nil {
--- a/internal/registry/group_test.go
+++ b/internal/registry/group_test.go
@@ -398,6 +398,7 @@
 	})
 	behind := (g.leader() + 1) % 3
 	g.stop(behind)
+	leader := g.nodes[g.leader()]
 	stop, done := make(chan struct{}), make(chan int)
 	go func() {
 		n := 0
@@ -410,13 +411,12 @@
 			}
 			m := endpoint(fmt.Sprint("s-", n%50), fmt.Sprintf("127.0.0.1:%d", n%50+1))
 			m.Cell = n
-			if _, err := g.nodes[g.leader()].apply(Command{Request: NewID(), Op: OpAdd, Member: m}); err != nil {
+			if _, err := leader.apply(Command{Request: NewID(), Op: OpAdd, Member: m}); err != nil {
 				t.Errorf("write %d: %v", n, err)
 				return
 			}
 		}
 	}()
-	leader := g.nodes[g.leader()]
 	waitFor(t, "a log that is cut", func() bool {
 		first, err := leader.bolt.FirstIndex()
 		return err == nil && first > 200
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -327,6 +327,16 @@
 		return // lost again: the next leader sees to it
 	}
 	members, epoch, _ := n.store.members()
+	// The first leader of a group puts its zones into regions; later they are the
+	// operators'. The epoch comes last: with it, all of this was done.
+	if epoch == "" {
+		for _, z := range n.cfg.Zones {
+			if _, err := n.apply(Command{Request: NewID(), Op: OpZone, Zone: z.Name, Region: z.Region}); err != nil {
+				n.log.Warn("zone not put into its region", "zone", z.Name, "err", err)
+				return
+			}
+		}
+	}
 	if epoch == "" {
 		if _, err := n.apply(Command{Request: NewID(), Op: OpEpoch, Epoch: NewID()}); err != nil {
 			n.log.Warn("no epoch yet", "err", err)
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -42,6 +42,7 @@
 	OpRemove Op = "remove" // leaves, or was removed by an operator
 	OpLapse  Op = "lapse"  // several at once that were not heard of
 	OpEpoch  Op = "epoch"  // the group begins, or was restored
+	OpZone   Op = "zone"   // a zone is put into a region, or out of any
 )
 
 // Command is one change, as it stands in the log.
@@ -55,7 +56,9 @@
 	If      int64            `json:"if,omitempty"`     // where told, the member's Changed has to be this
 	Lapsed  map[string]int64 `json:"lapsed,omitempty"` // by id, the Since of each
 	Epoch   string           `json:"epoch,omitempty"`
-	At      int64            `json:"at,omitempty"` // Unix ms, drawn by the leader: replicas read no clock
+	Zone    string           `json:"zone,omitempty"`
+	Region  string           `json:"region,omitempty"` // empty: the zone is of none
+	At      int64            `json:"at,omitempty"`     // Unix ms, drawn by the leader: replicas read no clock
 }
 
 // Answer is what a command came to.
@@ -80,12 +83,15 @@
 	Members  map[string]Member `json:"members"`
 	History  []Change          `json:"history"`
 	Answers  map[string]Answer `json:"answers"`
-	Order    []string          `json:"order"` // of Answers, oldest first
+	Order    []string          `json:"order"`           // of Answers, oldest first
+	Zones    map[string]string `json:"zones,omitempty"` // the region of each that is in one
+
+	at map[string]string // the member at each address; made anew where it is nil
 }
 
 // NewState makes that of a group which has just begun.
 func NewState() *State {
-	return &State{Members: map[string]Member{}, Answers: map[string]Answer{}}
+	return &State{Members: map[string]Member{}, Answers: map[string]Answer{}, Zones: map[string]string{}}
 }
 
 // Apply takes one command. The same commands in the same order give the same
@@ -131,7 +137,7 @@
 			if m, ok := s.Members[id]; ok && m.Since == since && m.TTL > 0 {
 				m.Phase = discovery.Removed
 				gone.Members = append(gone.Members, m.Member)
-				delete(s.Members, id)
+				s.forget(m)
 			}
 		}
 		if len(gone.Members) > 0 { // in one order on all nodes
@@ -139,6 +145,13 @@
 			s.log(gone)
 		}
 		return Answer{Status: 200}
+	case OpZone:
+		if c.Region == "" {
+			delete(s.Zones, c.Zone)
+		} else {
+			s.Zones[c.Zone] = c.Region
+		}
+		return Answer{Status: 200}
 	case OpEpoch:
 		s.Epoch, s.History = c.Epoch, nil // whoever watches from before gets the whole list
 		s.Revision++
@@ -159,10 +172,8 @@
 	case known && old.Holder != m.Holder && old.Phase != discovery.Removed && old.HostPort != m.HostPort && c.If == 0:
 		return Answer{Status: 409, Error: fmt.Sprintf("member %s is registered by another, at %s", m.ID, old.HostPort), Changed: old.Changed}
 	}
-	for _, id := range s.ids() {
-		if x := s.Members[id]; id != m.ID && x.HostPort == m.HostPort {
-			s.remove(x)
-		}
+	if id, ok := s.addresses()[m.HostPort]; ok && id != m.ID {
+		s.remove(s.Members[id])
 	}
 	m.UpSince = c.At
 	if m.Static {
@@ -206,14 +217,38 @@
 	return ids
 }
 
+// addresses has the one member at each address, so that a registration costs
+// the same however many there are.
+func (s *State) addresses() map[string]string {
+	if s.at == nil {
+		s.at = make(map[string]string, len(s.Members))
+		for id, m := range s.Members {
+			s.at[m.HostPort] = id
+		}
+	}
+	return s.at
+}
+
+// forget takes a member out of the maps.
+func (s *State) forget(m Member) {
+	delete(s.Members, m.ID)
+	if s.addresses()[m.HostPort] == m.ID {
+		delete(s.at, m.HostPort)
+	}
+}
+
 func (s *State) change(m *Member) {
+	if old, ok := s.Members[m.ID]; ok {
+		s.forget(old)
+	}
+	s.addresses()[m.HostPort] = m.ID
 	m.Changed = s.Revision + 1
 	s.Members[m.ID] = *m
 	s.log(Change{s.Revision + 1, []discovery.Member{m.Member}})
 }
 
 func (s *State) remove(m Member) {
-	delete(s.Members, m.ID)
+	s.forget(m)
 	m.Phase = discovery.Removed
 	s.log(Change{s.Revision + 1, []discovery.Member{m.Member}})
 }
@@ -270,6 +305,9 @@
 		}
 		last = c.Revision
 	}
+	if s.Zones == nil { // of a version that had none
+		s.Zones = map[string]string{}
+	}
 	for id, m := range s.Members {
 		if m.ID != id || m.Phase == discovery.Removed {
 			return nil, fmt.Errorf("snapshot: members.%s: not a member that can be held", id)
--- a/internal/registry/state_test.go
+++ b/internal/registry/state_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"strings"
 	"testing"
 	"time"
 
@@ -176,6 +177,29 @@
 	}
 }
 
+func TestZonesAreKeptOverASnapshot(t *testing.T) {
+	s := NewState()
+	s.Apply(Command{Op: OpZone, Zone: "a", Region: "north"})
+	s.Apply(Command{Op: OpZone, Zone: "b", Region: "north"})
+	s.Apply(Command{Op: OpZone, Zone: "b"})
+	s.Apply(Command{Op: OpAdd, Member: endpoint("s-1", "10.0.0.1:1")})
+	var text bytes.Buffer
+	if err := s.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	back, err := ReadState(&text)
+	if err != nil || len(back.Zones) != 1 || back.Zones["a"] != "north" {
+		t.Fatalf("%v, %v", back, err)
+	}
+	// The index of addresses is not in the snapshot: it has to be there all the same.
+	if back.Apply(Command{Op: OpAdd, Member: endpoint("s-2", "10.0.0.1:1")}); len(back.Members) != 1 {
+		t.Errorf("two members at one address: %v", back.Members)
+	}
+	if _, err := ReadState(strings.NewReader(`{"epoch":"e","revision":1,"members":{},"answers":{}}`)); err != nil {
+		t.Errorf("a snapshot without zones: %v", err)
+	}
+}
+
 // TestALapseThatComesTooLateTakesNothing: one that registered anew since is not ended.
 func TestALapseThatComesTooLateTakesNothing(t *testing.T) {
 	s := NewState()
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/raft"
@@ -140,6 +142,33 @@
 	return lines, s.state.Revision, s.state.Epoch, s.changed
 }
 
+// zones gives every zone that is in a region or has a member, by name.
+func (s *store) zones() []ZoneStatus {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	all := map[string]*ZoneStatus{}
+	of := func(name string) *ZoneStatus {
+		if all[name] == nil {
+			all[name] = &ZoneStatus{Zone: Zone{Name: name, Region: s.state.Zones[name]}}
+		}
+		return all[name]
+	}
+	for name := range s.state.Zones {
+		of(name)
+	}
+	for _, m := range s.state.Members {
+		z := of(m.Locality)
+		if z.Members++; m.Phase == discovery.Draining {
+			z.Draining++
+		}
+	}
+	out := make([]ZoneStatus, 0, len(all))
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		out = append(out, *all[name])
+	}
+	return out
+}
+
 // members gives a copy of all members.
 func (s *store) members() (all []Member, epoch string, revision int64) {
 	s.mu.RLock()
