--- a/internal/lab/bench.go
+++ b/internal/lab/bench.go
@@ -25,6 +25,7 @@
 	"troutusher/internal/lab/model"
 	"troutusher/internal/lab/process"
 	"troutusher/internal/registry"
+	"troutusher/internal/registry/agent"
 	"troutusher/internal/registry/client"
 )
 
@@ -37,6 +38,8 @@
 	Kills    int
 	Writes   int           // whose way to the last watcher is timed
 	Load     time.Duration // of each measurement of writes
+	Agents   int           // that come back beside the most watchers after an outage
+	Outage   time.Duration
 	Seed     uint64
 	Say      func(format string, args ...any)
 }
@@ -317,8 +320,11 @@
 		out = append(out, s)
 		o.Say("%-64s n=%-5d p50 %.1f  p90 %.1f  p99 %.1f  max %.1f", s.Name, s.N, s.P50, s.P90, s.P99, s.Max)
 	}
-	for _, nodes := range []int{1, 3} {
-		if err := b.writes(ctx, nodes, o, add); err != nil {
+	if err := b.writes(ctx, 1, 0, o, add); err != nil {
+		return out, err
+	}
+	for _, members := range append([]int{0}, o.Members...) {
+		if err := b.writes(ctx, 3, members, o, add); err != nil {
 			return out, err
 		}
 	}
@@ -338,7 +344,17 @@
 		}
 	}
 	if o.Kills > 0 {
-		if err := b.kills(ctx, o, add); err != nil {
+		if err := b.kills(ctx, 30, o.Kills, o, add); err != nil {
+			return out, err
+		}
+		for _, members := range o.Members {
+			if err := b.kills(ctx, members, max(o.Kills/5, 1), o, add); err != nil {
+				return out, err
+			}
+		}
+	}
+	if o.Agents > 0 && len(o.Watchers) > 0 {
+		if err := b.comeback(ctx, slices.Max(o.Watchers), o, add); err != nil {
 			return out, err
 		}
 	}
@@ -346,8 +362,8 @@
 }
 
 // writes measures how many writes a second a group takes, and how long each is.
-func (b *benchGroup) writes(ctx context.Context, nodes int, o BenchOptions, add func(Spread)) error {
-	c, err := b.begin(ctx, nodes, 0)
+func (b *benchGroup) writes(ctx context.Context, nodes, members int, o BenchOptions, add func(Spread)) error {
+	c, err := b.begin(ctx, nodes, members)
 	if err != nil {
 		return err
 	}
@@ -384,8 +400,8 @@
 		wg.Wait()
 		rates = append(rates, float64(n.Load())/o.Load.Seconds())
 	}
-	add(spreadOf(fmt.Sprintf("writes, %d nodes, 16 writers: ms each", nodes), took))
-	add(spreadOf(fmt.Sprintf("writes, %d nodes, 16 writers: a second, over plays", nodes), rates))
+	add(spreadOf(fmt.Sprintf("writes, %d nodes, %d members, 16 writers: ms each", nodes, members), took))
+	add(spreadOf(fmt.Sprintf("writes, %d nodes, %d members, 16 writers: a second, over plays", nodes, members), rates))
 	return nil
 }
 
@@ -471,8 +487,8 @@
 }
 
 // kills measures how long no write is taken after the leader was killed.
-func (b *benchGroup) kills(ctx context.Context, o BenchOptions, add func(Spread)) error {
-	c, err := b.begin(ctx, 3, 30)
+func (b *benchGroup) kills(ctx context.Context, members, kills int, o BenchOptions, add func(Spread)) error {
+	c, err := b.begin(ctx, 3, members)
 	if err != nil {
 		return err
 	}
@@ -480,7 +496,7 @@
 	defer c.Close()
 	r := rand.New(rand.NewPCG(o.Seed, 1))
 	var took []float64
-	for n := range o.Kills {
+	for n := range kills {
 		at := b.leader()
 		if at < 0 {
 			model.Pause(ctx, 50*time.Millisecond)
@@ -512,6 +528,104 @@
 			}
 		}
 	}
-	add(spreadOf("ms without a leader after its kill, until a write is taken", took))
+	add(spreadOf(fmt.Sprintf("%d members: ms without a leader after its kill, until a write is taken", members), took))
+	return nil
+}
+
+// term is the highest that a node tells of, with whether one leads.
+func (b *benchGroup) term() (term uint64, led bool) {
+	c := http.Client{Timeout: time.Second}
+	for _, addr := range b.http {
+		resp, err := c.Get("http://" + addr + registry.StatusPath)
+		if err != nil {
+			continue
+		}
+		var s registry.Status
+		if json.NewDecoder(resp.Body).Decode(&s) == nil {
+			term, led = max(term, s.Term), led || s.Role == "Leader"
+		}
+		resp.Body.Close()
+	}
+	return term, led
+}
+
+// comeback measures the return of a whole fleet: agents and watchers whose
+// group was gone for so long that each tries as seldom as it ever does. It
+// counts the elections after the first leader, which the return would have
+// caused, for as long again as the return took.
+func (b *benchGroup) comeback(ctx context.Context, watchers int, o BenchOptions, add func(Spread)) error {
+	c, err := b.begin(ctx, 3, 300)
+	if err != nil {
+		return err
+	}
+	defer b.stop()
+	defer c.Close()
+	var agents []*agent.Agent
+	defer func() {
+		for _, a := range agents {
+			a.Close()
+		}
+	}()
+	for i := range o.Agents {
+		a, err := agent.Start(agent.Options{Listen: "127.0.0.1:0", Folder: filepath.Join(b.dir, "agents", fmt.Sprint(i)), Nodes: b.http, Fleet: o.Agents,
+			Log: slog.New(slog.DiscardHandler)})
+		if err != nil {
+			return fmt.Errorf("bench: %w", err)
+		}
+		agents = append(agents, a)
+	}
+	up := func() bool {
+		return !slices.ContainsFunc(agents, func(a *agent.Agent) bool { return !a.State().Up })
+	}
+	until := func(cond func() bool) error {
+		for !cond() {
+			if !model.Pause(ctx, 5*time.Millisecond) {
+				return ctx.Err()
+			}
+		}
+		return nil
+	}
+	crowdCtx, cancel := context.WithCancel(ctx)
+	w := &crowd{}
+	defer func() { cancel(); w.wg.Wait() }()
+	w.start(crowdCtx, b.http, watchers, false)
+	if err := w.opensAll(ctx, 0); err != nil {
+		return err
+	}
+	if err := until(up); err != nil {
+		return err
+	}
+	var agentsBack, allBack, elections []float64
+	for range 3 {
+		b.stop()
+		from := w.opened.Load()
+		model.Pause(ctx, o.Outage)
+		began := time.Now()
+		since := func() float64 { return time.Since(began).Seconds() * 1e3 }
+		for i := range b.procs {
+			if err := b.run(i); err != nil {
+				return err
+			}
+		}
+		var first uint64
+		if err := until(func() (led bool) { first, led = b.term(); return led }); err != nil {
+			return err
+		}
+		if err := until(up); err != nil {
+			return err
+		}
+		agentsBack = append(agentsBack, since())
+		if err := w.opensAll(ctx, from); err != nil {
+			return err
+		}
+		allBack = append(allBack, since())
+		model.Pause(ctx, time.Since(began))
+		last, _ := b.term()
+		elections = append(elections, float64(last-first))
+	}
+	name := fmt.Sprintf("%d agents and %d watchers after %v without a group", o.Agents, watchers, o.Outage)
+	add(spreadOf(name+": ms from its start until all agents are back", agentsBack))
+	add(spreadOf(name+": ms until all watchers are back too", allBack))
+	add(spreadOf(name+": elections after the first leader", elections))
 	return nil
 }
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -513,6 +513,8 @@
 	r.Flags().IntSliceVar(&o.Members, "members", []int{300, 3000}, "members of the list, with 300 watchers")
 	r.Flags().IntVar(&o.Kills, "kills", 50, "kills of the leader")
 	r.Flags().IntVar(&o.Writes, "writes", 50, "writes whose way is timed")
+	r.Flags().IntVar(&o.Agents, "agents", 300, "agents that come back after an outage, beside the most watchers")
+	r.Flags().DurationVar(&o.Outage, "outage", 20*time.Second, "without a group, before they come back")
 	r.Flags().DurationVar(&o.Load, "load", 5*time.Second, "of each of three plays of writes")
 	r.Flags().Uint64Var(&o.Seed, "seed", 1, "of the moments of the kills")
 	c.AddCommand(r)
--- a/internal/registry/agent/agent_test.go
+++ b/internal/registry/agent/agent_test.go
@@ -245,3 +245,76 @@
 		}
 	})
 }
+
+// Hard case 3: a whole fleet of agents comes back to a group that was gone, at
+// its pace, and the group keeps the leader that it elected.
+func TestAFleetComesBackAndChangesNoLeader(t *testing.T) {
+	var peers []registry.Peer
+	for i := range 3 {
+		peers = append(peers, registry.Peer{ID: fmt.Sprint("r", i), Raft: loopback.Free(), HTTP: loopback.Free()})
+	}
+	var cfgs []*registry.Config
+	var addrs []string
+	for _, p := range peers {
+		c := registry.DefaultConfig()
+		c.ID, c.Data, c.Listen, c.Raft, c.Peers = p.ID, filepath.Join(t.TempDir(), "data"), p.HTTP, p.Raft, peers
+		cfgs, addrs = append(cfgs, &c), append(addrs, p.HTTP)
+	}
+	var nodes []*registry.Node
+	start := func() {
+		for _, c := range cfgs {
+			nodes = append(nodes, startNode(t, c))
+		}
+	}
+	stop := func() {
+		for _, n := range nodes {
+			n.Close()
+		}
+		nodes = nil
+	}
+	start()
+	defer func() { stop() }()
+	change(t, addrs[0], http.MethodPost, registry.MembersPath, member(0))
+	agents := make([]*Agent, 300)
+	for i := range agents {
+		a, err := Start(Options{Listen: "127.0.0.1:0", Folder: t.TempDir(), Nodes: addrs, Fleet: len(agents), Log: quiet()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Close()
+		agents[i] = a
+	}
+	all := func(up bool) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(agents, func(a *Agent) bool { return a.State().Up != up })
+		}
+	}
+	waitFor(t, "all agents follow", all(true))
+	stop()
+	waitFor(t, "all agents see that the group is gone", all(false))
+	start()
+	var first uint64
+	term := func() (highest uint64, led bool) {
+		for _, addr := range addrs {
+			resp, err := http.Get("http://" + addr + registry.StatusPath)
+			if err != nil {
+				continue
+			}
+			var s registry.Status
+			if json.NewDecoder(resp.Body).Decode(&s) == nil {
+				highest, led = max(highest, s.Term), led || s.Role == "Leader"
+			}
+			resp.Body.Close()
+		}
+		return highest, led
+	}
+	waitFor(t, "a leader", func() (led bool) { first, led = term(); return led })
+	waitFor(t, "all agents are back", all(true))
+	change(t, addrs[0], http.MethodPost, registry.MembersPath, member(1))
+	waitFor(t, "all have what came after", func() bool {
+		return !slices.ContainsFunc(agents, func(a *Agent) bool { return a.State().Members != 2 })
+	})
+	if last, _ := term(); last != first {
+		t.Errorf("the return caused %d elections", last-first)
+	}
+}
