--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"troutusher/internal/wal"
 )
 
 // RESP2, as far as clients speak it here: commands are arrays of bulk strings.
@@ -122,7 +124,7 @@
 
 // request is a message that a client hands in; answer is called once.
 type request struct {
-	rec    *record
+	rec    *wal.Record
 	class  int
 	tenant int
 	left   time.Duration
@@ -160,7 +162,7 @@
 	if !token(id) {
 		return nil, errors.New("id: empty, too long or not plain")
 	}
-	q := &request{rec: &record{Kind: recTaken, ID: id, body: args[4]}, reply: make(chan string, 1)}
+	q := &request{rec: &wal.Record{Kind: wal.Taken, ID: id, Body: args[4]}, reply: make(chan string, 1)}
 	have := map[string]string{}
 	for part := range strings.SplitSeq(string(args[3]), ",") {
 		name, value, ok := strings.Cut(part, "=")
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -13,6 +13,7 @@
 	"troutusher/decide"
 	"troutusher/internal/discovery"
 	"troutusher/internal/settings"
+	"troutusher/internal/wal"
 	"troutusher/internal/wire"
 )
 
@@ -35,6 +36,8 @@
 	Limits    Limits
 	Known     *discovery.List // the list as this relay last had it, maybe old
 	Policy    decide.Settings
+	Promise   wal.Promise // what a message that was taken on outlives
+	FS        wal.FS      // of the log; nil for the machine's own
 	zones     map[string]int
 	kinds     map[string]int
 	classes   map[string]int
@@ -102,6 +105,7 @@
 		Limits    Limits          `json:"limits"`
 		Known     *discovery.List `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
+		Promise   string          `json:"promise"`
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
 		var te *json.UnmarshalTypeError
@@ -134,6 +138,13 @@
 			return nil, fmt.Errorf("config: %s: %w", key, err)
 		}
 	}
+	switch f.Promise {
+	case "", "process":
+	case "power":
+		c.Promise = wal.Power
+	default:
+		return nil, fmt.Errorf("config: promise: %q; process and power are allowed", f.Promise)
+	}
 	var err error
 	if c.Seed, err = parseSeed(f.Seed); err != nil {
 		return nil, fmt.Errorf("config: seed: %w", err)
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"troutusher/decide"
+	"troutusher/internal/wal"
 )
 
 const (
@@ -258,18 +259,18 @@
 }
 
 // framed is at least what a message takes up in the body of a batch call.
-func framed(rec *record) int {
-	return base64.StdEncoding.EncodedLen(len(rec.body)) + 2*(len(rec.ID)+len(rec.Key)) + bodyFrame
+func framed(rec *wal.Record) int {
+	return base64.StdEncoding.EncodedLen(len(rec.Body)) + 2*(len(rec.ID)+len(rec.Key)) + bodyFrame
 }
 
 // newCallRequest makes the request of a call that carries these messages. Its
 // GetBody stays nil.
-func newCallRequest(ctx context.Context, hostPort string, recs []*record, timeout time.Duration) (*http.Request, error) {
-	path, body := callPath, recs[0].body
+func newCallRequest(ctx context.Context, hostPort string, recs []*wal.Record, timeout time.Duration) (*http.Request, error) {
+	path, body := callPath, recs[0].Body
 	if len(recs) > 1 {
 		items := make([]batchItem, 0, len(recs))
 		for _, rec := range recs {
-			items = append(items, batchItem{rec.ID, rec.Key, append([]byte{}, rec.body...)}) // never null
+			items = append(items, batchItem{rec.ID, rec.Key, append([]byte{}, rec.Body...)}) // never null
 		}
 		text, err := json.Marshal(items)
 		if err != nil {
@@ -299,7 +300,7 @@
 // run makes the call and returns when its connection carries nothing of it any
 // more: after the whole answer, or with the connection closed. There is one
 // outcome for each record, in their order.
-func (c *call) run(conns *http.Transport, hostPort string, recs []*record, limit time.Duration, loads []string) []outcome {
+func (c *call) run(conns *http.Transport, hostPort string, recs []*wal.Record, limit time.Duration, loads []string) []outcome {
 	began := time.Now()
 	ctx, cancel := context.WithTimeoutCause(c.ctx, limit, context.DeadlineExceeded)
 	defer cancel()
@@ -354,7 +355,7 @@
 
 // readBatch tells the messages of a batch apart by the body of its answer.
 // What that does not tell, or what cannot be read, may have run.
-func (c *call) readBatch(ctx context.Context, resp *http.Response, whole outcome, recs []*record, conn *lineConn) []outcome {
+func (c *call) readBatch(ctx context.Context, resp *http.Response, whole outcome, recs []*wal.Record, conn *lineConn) []outcome {
 	whole.what, whole.settled = decide.Errored, false
 	out := slices.Repeat([]outcome{whole}, len(recs))
 	text, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -16,6 +16,7 @@
 
 	"troutusher/decide"
 	"troutusher/internal/discovery"
+	"troutusher/internal/wal"
 )
 
 func testSet(t *testing.T) *Config {
@@ -34,8 +35,8 @@
 }
 
 // runOne makes a call that carries one message.
-func runOne(c *call, conns *http.Transport, addr string, rec *record, limit time.Duration) outcome {
-	return c.run(conns, addr, []*record{rec}, limit, nil)[0]
+func runOne(c *call, conns *http.Transport, addr string, rec *wal.Record, limit time.Duration) outcome {
+	return c.run(conns, addr, []*wal.Record{rec}, limit, nil)[0]
 }
 
 func testConns(t *testing.T, idle int) *http.Transport {
@@ -113,7 +114,7 @@
 		t.Run(name, func(t *testing.T) {
 			conns := testConns(t, 2)
 			defer conns.CloseIdleConnections()
-			o := runOne(newTestCall(), conns, rawEndpoint(t, x.serve), &record{ID: "m", Key: "k", body: []byte("b")}, testLimit)
+			o := runOne(newTestCall(), conns, rawEndpoint(t, x.serve), &wal.Record{ID: "m", Key: "k", Body: []byte("b")}, testLimit)
 			if o.what != x.what || o.wait != x.wait || o.slots != x.slots || o.settled != x.settled {
 				t.Errorf("got %+v", o)
 			}
@@ -156,7 +157,7 @@
 			})
 			conns := testConns(t, 2)
 			defer conns.CloseIdleConnections()
-			recs := []*record{{ID: "a", Key: "k", body: []byte("hello")}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}, {ID: "f"}}
+			recs := []*wal.Record{{ID: "a", Key: "k", Body: []byte("hello")}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}, {ID: "f"}}
 			out := newTestCall().run(conns, addr, recs, testLimit, nil)
 			for i, o := range out {
 				settled := x.what[i] == decide.Delivered || name == "told apart" && recs[i].ID == "d"
@@ -196,7 +197,7 @@
 	}
 	refused := ln.Addr().String()
 	ln.Close()
-	if o := runOne(newTestCall(), conns, refused, &record{ID: "m"}, testLimit); o.what != decide.NoConnect {
+	if o := runOne(newTestCall(), conns, refused, &wal.Record{ID: "m"}, testLimit); o.what != decide.NoConnect {
 		t.Errorf("refused: %+v", o)
 	}
 	gone := make(chan struct{}, 2)
@@ -208,14 +209,14 @@
 		in.ReadByte() // until the caller closes
 		gone <- struct{}{}
 	})
-	if o := runOne(newTestCall(), conns, silent, &record{ID: "m"}, 50*time.Millisecond); o.what != decide.TimedOut {
+	if o := runOne(newTestCall(), conns, silent, &wal.Record{ID: "m"}, 50*time.Millisecond); o.what != decide.TimedOut {
 		t.Errorf("silent: %+v", o)
 	}
 	<-entered
 	<-gone // giving up closes the connection
 	c := newTestCall()
 	go func() { <-entered; c.stop(errCancelled) }()
-	if o := runOne(c, conns, silent, &record{ID: "m"}, testLimit); o.what != decide.Cancelled {
+	if o := runOne(c, conns, silent, &wal.Record{ID: "m"}, testLimit); o.what != decide.Cancelled {
 		t.Errorf("cancelled: %+v", o)
 	}
 	<-gone
@@ -239,7 +240,7 @@
 			})
 			conns := testConns(t, 2)
 			defer conns.CloseIdleConnections()
-			rec := &record{ID: "m", Key: "k", body: body}
+			rec := &wal.Record{ID: "m", Key: "k", Body: body}
 			if o := runOne(newTestCall(), conns, addr, rec, testLimit); o.what != decide.Delivered {
 				t.Fatalf("first: %+v", o)
 			}
@@ -251,7 +252,7 @@
 			}
 		})
 	}
-	req, err := newCallRequest(context.Background(), "127.0.0.1:1", []*record{{ID: "m", Key: "k", body: []byte("b")}}, time.Second)
+	req, err := newCallRequest(context.Background(), "127.0.0.1:1", []*wal.Record{{ID: "m", Key: "k", Body: []byte("b")}}, time.Second)
 	if err != nil || req.GetBody != nil || req.Body == http.NoBody {
 		t.Errorf("request can be rewound: GetBody %v, body %v, err %v", req.GetBody != nil, req.Body, err)
 	}
@@ -272,7 +273,7 @@
 	defer conns.CloseIdleConnections()
 	c := newTestCall()
 	go func() { <-dialing; c.holdBack(errDrained) }()
-	o := runOne(c, conns, ep.addr(), &record{ID: "m"}, testLimit)
+	o := runOne(c, conns, ep.addr(), &wal.Record{ID: "m"}, testLimit)
 	if o.what != decide.NotSent || o.took > testLimit.Microseconds()/2 {
 		t.Errorf("got %+v", o)
 	}
@@ -287,7 +288,7 @@
 	late.stage.Store(callStopped)
 	tr := testConns(t, 2)
 	defer tr.CloseIdleConnections()
-	if o := runOne(late, tr, ep.addr(), &record{ID: "late"}, testLimit); o.what != decide.NotSent || ep.count("late") != 0 {
+	if o := runOne(late, tr, ep.addr(), &wal.Record{ID: "late"}, testLimit); o.what != decide.NotSent || ep.count("late") != 0 {
 		t.Errorf("got %+v, and %d calls", o, ep.count("late"))
 	}
 	// What is under way already is not stopped.
@@ -314,7 +315,7 @@
 	over := &message{}
 	c.parts = []part{{m: over}, {m: &message{}}}
 	go func() { <-dialing; c.drop(over) }()
-	for _, o := range c.run(conns, ep.addr(), []*record{{ID: "over"}, {ID: "other"}}, testLimit, nil) {
+	for _, o := range c.run(conns, ep.addr(), []*wal.Record{{ID: "over"}, {ID: "other"}}, testLimit, nil) {
 		if o.what != decide.NoConnect || o.took > testLimit.Microseconds()/2 {
 			t.Errorf("got %+v", o)
 		}
@@ -327,7 +328,7 @@
 	}
 	// The end may also come just as the connection does.
 	ctx, cancel := context.WithCancel(t.Context())
-	req, err := newCallRequest(ctx, ep.addr(), []*record{{ID: "over", body: []byte("text")}}, time.Second)
+	req, err := newCallRequest(ctx, ep.addr(), []*wal.Record{{ID: "over", Body: []byte("text")}}, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -348,7 +349,7 @@
 	}
 	one, twin, other := add("one", 1), add("twin", 1), add("other", 2)
 	begin := func(ep *endpoint, stage int32) *call {
-		m := r.newMessage(&record{ID: fmt.Sprint(len(r.msgs)), Class: "plain", Dest: ep.cell})
+		m := r.newMessage(&wal.Record{ID: fmt.Sprint(len(r.msgs)), Class: "plain", Dest: ep.cell})
 		c := newTestCall()
 		c.ep, c.conns, c.parts = ep, ep.conns, []part{{m: m}}
 		c.stage.Store(stage)
@@ -365,7 +366,7 @@
 		}
 	}
 	// A batch that the policy let go before the word, and whose client hears only now.
-	late := r.newMessage(&record{ID: "late", Class: "plain", Dest: 1})
+	late := r.newMessage(&wal.Record{ID: "late", Class: "plain", Dest: 1})
 	late.heard = true
 	b := &batch{ep: twin, sends: []send{{late, r.now() + 900e6}}}
 	late.pending = b
@@ -419,7 +420,7 @@
 	for round := range 2 {
 		done := make(chan outcome, burst)
 		for range burst {
-			go func() { done <- runOne(newTestCall(), tr, addr, &record{ID: "m"}, testLimit) }()
+			go func() { done <- runOne(newTestCall(), tr, addr, &wal.Record{ID: "m"}, testLimit) }()
 		}
 		for range burst {
 			if o := <-done; o.what != decide.Delivered {
@@ -475,7 +476,7 @@
 	conns := testConns(t, 4)
 	defer conns.CloseIdleConnections()
 	for i, want := range []bool{true, false} {
-		if o := runOne(newTestCall(), conns, addr, &record{ID: "m"}, testLimit); o.fresh != want || o.what != decide.Full {
+		if o := runOne(newTestCall(), conns, addr, &wal.Record{ID: "m"}, testLimit); o.fresh != want || o.what != decide.Full {
 			t.Errorf("call %d: fresh %v, %+v", i, o.fresh, o)
 		}
 	}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -25,6 +25,7 @@
 	"troutusher/internal/discovery/discoverytest"
 	"troutusher/internal/loopback"
 	"troutusher/internal/mailbox"
+	"troutusher/internal/wal"
 )
 
 // childEnv makes the test's own program a relay, so that a test can kill one.
@@ -193,19 +194,29 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w, _, _, err := openWAL(t.TempDir(), 3<<20, quietLog())
+	w, err := wal.Open(wal.Options{Dir: t.TempDir(), Limit: 3 << 20, Log: quietLog()})
 	if err != nil {
 		t.Fatal(err)
 	}
 	stop := make(chan struct{})
-	go w.run(stop)
+	go w.Run(stop)
 	r := &Relay{cfg: cfg, log: quietLog(), policy: policy, in: mailbox.New[happening](), began: time.Now(), wal: w,
 		ctx: t.Context(), msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
 		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, idleConns: 2, fig: newFigures(cfg.Policy.Classes)}
-	t.Cleanup(func() { close(stop); <-w.done })
+	t.Cleanup(func() { close(stop); <-w.Done() })
 	return r
 }
 
+// logged reports whether the log in a state folder has such a record.
+func logged(dir string, kind wal.Kind, id string) (found bool) {
+	// A folder that changes meanwhile is read again by who waits.
+	wal.Dump(nil, dir, func(_ string, _ int64, _ uint64, r *wal.Record) bool {
+		found = r.Kind == kind && r.ID == id
+		return !found
+	})
+	return found
+}
+
 // child is a relay in a process of its own.
 type child struct {
 	cmd *exec.Cmd
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -19,6 +19,9 @@
 	pending     atomic.Int64
 	members     atomic.Int64
 	unavailable atomic.Int64
+	// Of the log.
+	unread, damaged, lost, concerned atomic.Int64
+	waits                            atomic.Value // what keeps the relay from being ready; a string
 }
 
 type laneFigures struct {
@@ -86,6 +89,10 @@
 		{"app_pending", "Messages taken and not ended.", &f.pending},
 		{"app_members", "Endpoints on the list.", &f.members},
 		{"app_members_unavailable", "Endpoints on the list that the relay avoids now.", &f.unavailable},
+		{"app_log_unread", "Messages owed at the start that are still to be read.", &f.unread},
+		{"app_log_damaged", "Damaged stretches found in the log at the start.", &f.damaged},
+		{"app_log_lost", "Messages that damage to the log took; each was given up.", &f.lost},
+		{"app_log_concerned", "Messages held to have been sent, since damage may have concerned them.", &f.concerned},
 	} {
 		fmt.Fprintf(&b, "# HELP %s %s\n# TYPE %s gauge\n%s %d\n", g.name, g.help, g.name, g.name, g.v.Load())
 	}
--- a/internal/relay/idle_test.go
+++ b/internal/relay/idle_test.go
@@ -6,6 +6,7 @@
 
 	"troutusher/decide"
 	"troutusher/internal/discovery"
+	"troutusher/internal/wal"
 )
 
 // Guards against idle connections that die in silence: where calls on
@@ -45,9 +46,9 @@
 	r.list(&discovery.List{Complete: true, Members: []discovery.Member{ep.member("s-1", 7)}}, decide.ListFull)
 	at := r.endpoints["s-1"]
 	send1 := func(id string) {
-		m := r.newMessage(&record{Kind: recTaken, ID: id, Dest: 7, Class: "plain"})
+		m := r.newMessage(&wal.Record{Kind: wal.Taken, ID: id, Dest: 7, Class: "plain"})
 		m.heard, m.logged, m.tries = true, true, 1
-		r.wal.submit(m.rec, nil)
+		r.wal.Submit(m.rec, nil)
 		r.launch(&batch{ep: at, sends: []send{{m, r.now() + 20e6}}})
 	}
 	send1("a")
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -16,6 +16,7 @@
 	"troutusher/decide"
 	"troutusher/internal/discovery"
 	"troutusher/internal/mailbox"
+	"troutusher/internal/wal"
 )
 
 // Figures of a planned end. A relay has 3.7 s from SIGTERM until it is killed.
@@ -37,7 +38,7 @@
 type message struct {
 	num     uint32
 	class   int // its place in the settings; -1 where they name it no longer
-	rec     *record
+	rec     *wal.Record
 	req     *request // until it is answered
 	heard   bool     // its client knows that it is taken on
 	logged  bool     // the log has it, or will
@@ -45,8 +46,8 @@
 	away    bool     // another process of this relay holds it
 	far     bool     // another process of this relay has its call out
 	tries   int
-	pending *batch  // a send that waits for clients to have heard
-	ending  *record // its end, likewise
+	pending *batch      // a send that waits for clients to have heard
+	ending  *wal.Record // its end, likewise
 	call    *call
 }
 
@@ -85,6 +86,16 @@
 	noticed string           // the message whose notice was taken
 	unkept  *message         // taken over from the side log, but the log has no room for it
 	passed  bool             // the log was passed on, with ok
+	resumed *resumed         // messages that were owed at the start
+	looked  bool             // put: the log was asked whether it is owed already
+	failed  error            // of the log, for good
+}
+
+// resumed is what the log has read of what was owed at the start.
+type resumed struct {
+	from *wal.Log
+	recs []*wal.Record
+	left int
 }
 
 // unsent is an attempt that never left.
@@ -99,7 +110,10 @@
 	log       *slog.Logger
 	policy    *decide.Policy
 	in        *mailbox.Mailbox[happening]
-	wal       *wal
+	wal       *wal.Log
+	resuming  bool  // messages that were owed at the start are still being read
+	skew      int64 // µs by which the machine's clock was set back since the log was written last
+	failed    error // the log can keep nothing more: this process ends
 	notices   *discovery.Notices
 	began     time.Time
 	lastNum   uint32
@@ -124,6 +138,7 @@
 	cl        *clients
 	ready     *atomic.Bool // as readyz says
 	fig       *figures
+	saysNo    bool        // the policy has this process refuse clients
 	shownAt   decide.Time // when the gauges were last published
 	ctx       context.Context
 }
@@ -132,10 +147,10 @@
 
 // wall turns a moment of the policy's clock into one of the log's.
 func (r *Relay) wall(t decide.Time) int64 {
-	return r.began.UnixMicro() + t - clockStart
+	return r.began.UnixMicro() + r.skew + t - clockStart
 }
 
-func (r *Relay) fromWall(us int64) decide.Time { return us - r.began.UnixMicro() + clockStart }
+func (r *Relay) fromWall(us int64) decide.Time { return us - r.began.UnixMicro() - r.skew + clockStart }
 
 // Run serves until stop is closed and the end is made, or something fails that
 // a relay cannot go on without. What moved gives is discovery's new address.
@@ -150,6 +165,7 @@
 		msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
 		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}}
 	r.fig = newFigures(cfg.Policy.Classes)
+	r.fig.waits.Store("waits for the list of endpoints")
 	r.ready = &atomic.Bool{}
 	if cfg.Operator != "" {
 		op, err := startOperator(cfg, log, r.fig, r.ready, func(k decide.EventKind) { r.in.Put(happening{ask: k}) })
@@ -183,10 +199,12 @@
 	r.step() // the list alone
 	r.cl = newClients(cfg, log, func(q *request) { r.in.Put(happening{put: q}) },
 		func(q *request, ok bool) { r.in.Put(happening{said: q, ok: ok}) })
+	r.fig.waits.Store("waits for the process that owns the log")
 	if ok, err := r.owner.wait(cfg.State, stop); err != nil || !ok {
 		return err
 	}
 	defer r.owner.close()
+	r.fig.waits.Store("reads what is owed")
 	r.takeNews() // the wait may have been long: what drains since must not be sent to
 	r.step()
 	owed, err := r.openLog()
@@ -211,7 +229,9 @@
 		r.in.Put(happening{stop: true})
 	}()
 	r.show()
-	r.ready.Store(true)
+	if !r.resuming {
+		r.setReady()
+	}
 	log.Info("ready", "name", cfg.Name, "listen", ln.Addr().String(), "endpoints", len(r.endpoints), "owed", owed)
 	return r.loop(ln)
 }
@@ -254,7 +274,7 @@
 }
 
 // restore takes up what an earlier process left owed.
-func (r *Relay) restore(owed []*record) {
+func (r *Relay) restore(owed []*wal.Record) {
 	for _, rec := range owed {
 		m := r.newMessage(rec)
 		m.heard, m.logged, m.tries = true, true, rec.Tries
@@ -264,6 +284,13 @@
 			r.notices.Put(discovery.Notice{Message: rec.ID, Outcome: rec.Notice, RetryMS: rec.RetryMS})
 			continue
 		}
+		if rec.Lost { // damage took it: whoever handed it in is told
+			m.over = true
+			r.drop(m)
+			r.end(m, discovery.GivenUp, 0)
+			r.log.Error("lost", "message", rec.ID)
+			continue
+		}
 		class, ok := r.cfg.classes[rec.Class]
 		if !ok { // the settings have changed: nothing is promised of its effect
 			m.over = true
@@ -289,6 +316,72 @@
 	}
 }
 
+// resumeMost is how many messages are read at a time of those that were owed at
+// the start: clients are served in between.
+const resumeMost = 2000
+
+// resumeNext has the log read more of what was owed at the start.
+func (r *Relay) resumeNext() {
+	w := r.wal
+	w.Do(func() {
+		recs := w.Next(resumeMost)
+		r.in.Put(happening{resumed: &resumed{w, recs, w.Owed()}})
+	})
+}
+
+// resume takes up what the log has read.
+func (r *Relay) resume(x *resumed) {
+	if x.from != r.wal || r.owner.passed {
+		return // of a log that was passed on
+	}
+	r.restore(x.recs)
+	if x.left < 0 { // one that a client asked for ahead of its turn
+		return
+	}
+	r.fig.unread.Store(int64(x.left))
+	if x.left > 0 {
+		r.resumeNext()
+		return
+	}
+	r.resuming = false
+	if !r.saysNo {
+		r.setReady()
+	}
+}
+
+// lookUp asks the log whether a message that is handed in is one of those that
+// were owed at the start and not read yet. It is admitted once that is known.
+func (r *Relay) lookUp(q *request) {
+	w := r.wal
+	w.Do(func() {
+		if rec := w.Fetch(q.rec.ID); rec != nil {
+			r.in.Put(happening{resumed: &resumed{w, []*wal.Record{rec}, -1}})
+		}
+		r.in.Put(happening{put: q, looked: true})
+	})
+}
+
+// logFailed ends this process: what it took on is kept, but no more can be.
+func (r *Relay) logFailed(err error) {
+	r.log.Error("the log can keep nothing more: ending", "err", err)
+	if r.failed == nil {
+		r.failed = err
+		r.ready.Store(false)
+		r.in.Put(happening{stop: true})
+	}
+}
+
+func (r *Relay) setReady() {
+	r.fig.waits.Store("")
+	r.ready.Store(true)
+}
+
+// unsafe reports whether a message may not have its effect twice.
+func (r *Relay) unsafe(rec *wal.Record) bool {
+	i, ok := r.cfg.classes[rec.Class]
+	return ok && r.cfg.Policy.Classes[i].Repeat == decide.Unsafe
+}
+
 // number gives the policy's number of an endpoint by its id, listed or not.
 func (r *Relay) number(id string) decide.Endpoint {
 	if ep := r.endpoints[id]; ep != nil {
@@ -298,7 +391,7 @@
 	return r.lastEnd
 }
 
-func (r *Relay) newMessage(rec *record) *message {
+func (r *Relay) newMessage(rec *wal.Record) *message {
 	r.lastNum++
 	m := &message{num: r.lastNum, rec: rec, class: place(r.cfg.classes, rec.Class)}
 	r.msgs[m.num], r.ids[rec.ID] = m, m
@@ -373,7 +466,7 @@
 		}
 		if !listening && idle || gone >= stopCalls {
 			r.log.Info("stopped", "held", r.held, "calls", r.calls)
-			return nil
+			return r.failed
 		}
 	}
 }
@@ -398,7 +491,7 @@
 		return false
 	}
 	last := stopSends
-	if i, ok := r.cfg.classes[m.rec.Class]; ok && r.cfg.Policy.Classes[i].Repeat == decide.Unsafe {
+	if r.unsafe(m.rec) {
 		last = stopUnsafe
 	}
 	return time.Since(r.stopAt) >= last
@@ -407,14 +500,20 @@
 // take books one happening and says it in the policy's words.
 func (r *Relay) take(h happening) {
 	switch {
+	case h.put != nil && r.resuming && !h.looked && !r.owner.passed && r.ids[h.put.rec.ID] == nil:
+		r.lookUp(h.put)
 	case h.put != nil:
 		r.admit(h.put)
+	case h.resumed != nil:
+		r.resume(h.resumed)
+	case h.failed != nil:
+		r.logFailed(h.failed)
 	case h.said != nil:
 		r.said(h.said, h.ok)
 	case h.lost != nil:
 		r.lost(h.lost)
 	case h.noticed != "":
-		r.wal.submit(&record{Kind: recEnd, ID: h.noticed}, nil)
+		r.wal.Submit(&wal.Record{Kind: wal.End, ID: h.noticed}, nil)
 	case h.unkept != nil:
 		r.unkept(h.unkept)
 	case h.passed:
@@ -443,6 +542,7 @@
 // admit shows a message to the policy. Whether it is taken on shows in the
 // step: what the policy ends there is refused with no further ado.
 func (r *Relay) admit(q *request) {
+	q.rec.Deadline += r.skew
 	switch old := r.ids[q.rec.ID]; {
 	case r.owner.passed && old == nil:
 		r.takeOnFor(q)
@@ -506,7 +606,7 @@
 // withdraw: nobody wants the message any more, and nobody was told it is ours.
 func (r *Relay) withdraw(m *message) {
 	if m.logged {
-		r.wal.submit(&record{Kind: recEnd, ID: m.rec.ID}, nil)
+		r.wal.Submit(&wal.Record{Kind: wal.End, ID: m.rec.ID}, nil)
 	}
 	m.ending = nil
 	if !m.over {
@@ -702,7 +802,7 @@
 func (r *Relay) takeOn(m *message) {
 	q := m.req
 	m.req, m.logged = nil, true
-	r.wal.submit(m.rec, func(err error) {
+	r.wal.Submit(m.rec, func(err error) {
 		if err != nil {
 			r.in.Put(happening{lost: q})
 			return
@@ -735,7 +835,7 @@
 	r.log.Info("ended", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "tries", m.tries,
 		"left_ms", (r.fromWall(m.rec.Deadline)-r.now())/1000)
 	if !m.heard {
-		m.ending = &record{Notice: word, RetryMS: ms}
+		m.ending = &wal.Record{Notice: word, RetryMS: ms}
 		return
 	}
 	r.end(m, word, ms)
@@ -748,7 +848,7 @@
 	}
 	n := discovery.Notice{Message: m.rec.ID, Outcome: word, RetryMS: ms}
 	// The notice goes out whether or not it could be logged.
-	r.wal.submit(&record{Kind: recEnding, ID: m.rec.ID, Notice: word, RetryMS: ms}, func(error) { r.notices.Put(n) })
+	r.wal.Submit(&wal.Record{Kind: wal.Ending, ID: m.rec.ID, Notice: word, RetryMS: ms}, func(error) { r.notices.Put(n) })
 }
 
 // act carries out what is no final answer.
@@ -784,13 +884,17 @@
 			ep.conns.CloseIdleConnections()
 		}
 	case decide.ActSayNo:
+		r.saysNo = true
 		r.ready.Store(false)
 		r.cl.refuse(true)
 	case decide.ActRelease:
 		r.cl.closeIdle()
 	case decide.ActSayYes:
 		r.cl.refuse(false)
-		r.ready.Store(true)
+		r.saysNo = false
+		if !r.resuming {
+			r.setReady()
+		}
 	case decide.ActLog:
 		r.log.Info("policy", "says", a.Text)
 	}
@@ -870,8 +974,8 @@
 func (r *Relay) sendOff(c *call, limit time.Duration) {
 	addr, at := c.ep.hostPort, r.wall(r.now())
 	results := make([]outcome, len(c.parts))
-	var recs []*record // what could be logged, and so goes out
-	var place []int    // its place in the call
+	var recs []*wal.Record // what could be logged, and so goes out
+	var place []int        // its place in the call
 	begin := func() {
 		if len(recs) > 0 {
 			c.wrote = func() {
@@ -889,7 +993,7 @@
 	last := len(c.parts) - 1
 	for i := range c.parts {
 		rec := c.parts[i].m.rec
-		r.wal.submit(&record{Kind: recAttempt, ID: rec.ID, At: at, Zone: c.ep.zone, To: c.ep.id, By: r.owner.by}, func(err error) {
+		r.wal.Submit(&wal.Record{Kind: wal.Attempt, ID: rec.ID, At: at, Zone: c.ep.zone, To: c.ep.id, By: r.owner.by, Sync: r.unsafe(rec)}, func(err error) {
 			if err != nil {
 				results[i] = outcome{what: decide.NotSent, err: err, unsaved: true}
 			} else {
@@ -943,18 +1047,18 @@
 			"attempt", attempt, "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000,
 			"idle_ms", o.idle.Milliseconds(), "err", o.err)
 	}
-	rec := &record{Kind: recOutcome, ID: m.rec.ID, Ran: !o.what.NeverRan()}
+	rec := &wal.Record{Kind: wal.Outcome, ID: m.rec.ID, Ran: !o.what.NeverRan()}
 	if o.settled {
-		rec.Kind = recEnd
+		rec.Kind = wal.End
 	}
 	if r.owner.passed { // the policy that is to know is another's
-		rec.What, rec.Took, rec.Slots = o.what, o.took, o.slots
+		rec.What, rec.Took, rec.Slots = uint8(o.what), o.took, o.slots
 		if o.wait > 0 {
 			rec.Wait = r.wall(r.now() + o.wait)
 		}
 	}
 	if !o.unsaved {
-		r.wal.submit(rec, nil)
+		r.wal.Submit(rec, nil)
 	}
 	if o.settled && !m.over {
 		if o.what == decide.Delivered {
--- a/internal/relay/operator.go
+++ b/internal/relay/operator.go
@@ -73,7 +73,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/readyz", o.whole(func(w http.ResponseWriter) {
 		if !o.ready.Load() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			text := "not ready"
+			if why, ok := o.fig.waits.Load().(string); ok && why != "" {
+				text += ": " + why
+			}
+			if n := o.fig.unread.Load(); n > 0 {
+				text += fmt.Sprintf(": %d owed messages are still to be read", n)
+			}
+			http.Error(w, text, http.StatusServiceUnavailable)
 			return
 		}
 		io.WriteString(w, "ready\n")
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -6,16 +6,17 @@
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"troutusher/decide"
 	"troutusher/internal/discovery"
 	"troutusher/internal/discovery/discoverytest"
+	"troutusher/internal/wal"
 )
 
 // Id, key and body go on as they came, whatever bytes they hold.
@@ -151,8 +152,7 @@
 		return done.count("done") == 1 && stuck.count("stuck") == 1 && full.count("full") >= 1 && keyed.count("keyed") == 1
 	})
 	waitFor(t, "the outcomes in the log", func() bool {
-		text, _ := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
-		return strings.Contains(string(text), `"kind":"end","id":"done"`) && strings.Contains(string(text), `"kind":"outcome","id":"full"`)
+		return logged(env["ROUTER_STATE"], wal.End, "done") && logged(env["ROUTER_STATE"], wal.Outcome, "full")
 	})
 	c.kill()
 	for _, e := range []*fakeEndpoint{stuck, full, keyed} {
@@ -188,8 +188,7 @@
 		}
 	}
 	waitFor(t, "an ending in the log", func() bool {
-		text, _ := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
-		return strings.Contains(string(text), `"kind":"ending","id":"short"`)
+		return logged(env["ROUTER_STATE"], wal.Ending, "short")
 	})
 	c.kill()
 	disc.Set(func(d *discoverytest.Server) { d.Answer = http.StatusNoContent })
@@ -198,8 +197,7 @@
 		waitFor(t, "notice of "+id, func() bool { n, ok := disc.Notice(id); return ok && n.Outcome == discovery.HandedBack })
 	}
 	waitFor(t, "ends in the log", func() bool {
-		text, _ := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
-		return strings.Contains(string(text), `"kind":"end","id":"short"`) && strings.Contains(string(text), `"kind":"end","id":"later"`)
+		return logged(env["ROUTER_STATE"], wal.End, "short") && logged(env["ROUTER_STATE"], wal.End, "later")
 	})
 }
 
@@ -370,9 +368,8 @@
 		defer disc.Mu.Unlock()
 		return refused+len(disc.Notices) >= 50
 	})
-	text, err := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
-	if err != nil || strings.Contains(string(text), `"id":"late"`) {
-		t.Errorf("logged: %v", err)
+	if logged(env["ROUTER_STATE"], wal.Taken, "late") {
+		t.Error("logged")
 	}
 	if _, ok := disc.Notice("late"); ok {
 		t.Error("a notice for what was never taken on")
@@ -415,7 +412,7 @@
 	r := newTestRelay(t)
 	due := r.now() // the loop has looked a moment ago: it was not due
 	r.timers = []decide.Time{due}
-	r.admit(&request{class: 0, tenant: 0, rec: &record{ID: "m", Class: "plain", Dest: 7, Deadline: r.wall(r.now() + 20e6)}, reply: make(chan string, 1)})
+	r.admit(&request{class: 0, tenant: 0, rec: &wal.Record{ID: "m", Class: "plain", Dest: 7, Deadline: r.wall(r.now() + 20e6)}, reply: make(chan string, 1)})
 	r.step()
 	r.act(due, &decide.Action{Kind: decide.ActTimer, After: 10e6})
 	r.act(due+5e6, &decide.Action{Kind: decide.ActTimer, After: 5e6}) // that one again is no third
@@ -429,3 +426,35 @@
 		t.Fatalf("timers %v from %d on: a message is held until %d", r.timers, due, due+20e6)
 	}
 }
+
+// Hard case: the clock is set back by an hour between two runs. Deadlines come
+// neither at once nor an hour late, for what was owed and for what comes new.
+func TestClockSetBack(t *testing.T) {
+	r := newTestRelay(t)
+	r.cfg.State = t.TempDir()
+	ahead := func() int64 { return time.Now().Add(time.Hour).UnixMicro() }
+	w, err := wal.Open(wal.Options{Dir: r.cfg.State, Limit: 3 << 20, Now: ahead})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, booked := make(chan struct{}), make(chan error)
+	go w.Run(stop)
+	w.Submit(&wal.Record{Kind: wal.Taken, ID: "m", Class: "plain", Dest: 7, Deadline: ahead() + 20e6}, func(err error) { booked <- err })
+	if err := <-booked; err != nil {
+		t.Fatal(err)
+	}
+	close(stop)
+	<-w.Done()
+	if _, err := r.openLog(); err != nil {
+		t.Fatal(err)
+	}
+	defer r.closeLog()
+	near := func(what string, left decide.Time) {
+		if left < 15e6 || left > 21e6 {
+			t.Errorf("%s: %d µs left", what, left)
+		}
+	}
+	near("owed", r.events[len(r.events)-1].Left)
+	r.admit(&request{class: 0, tenant: 0, rec: &wal.Record{ID: "new", Class: "plain", Dest: 7, Deadline: time.Now().Add(20 * time.Second).UnixMicro()}, reply: make(chan string, 1)})
+	near("new", r.events[len(r.events)-1].Left)
+}
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -8,6 +8,7 @@
 
 	"troutusher/decide"
 	"troutusher/internal/discovery"
+	"troutusher/internal/wal"
 )
 
 // During an upgrade two processes of one relay run over one state folder. At
@@ -24,10 +25,10 @@
 
 // owner is what a process knows of who owns the relay.
 type owner struct {
-	lock, next *fileLock
-	passed     bool     // the other process owns it, or is just taking over
-	freed      bool     // the lock has been let go
-	side       *sideLog // of the process that owned it before, while that lives
+	lock, next *wal.Lock
+	passed     bool      // the other process owns it, or is just taking over
+	freed      bool      // the lock has been let go
+	side       *wal.Side // of the process that owned it before, while that lives
 	lookAt     time.Time
 	by         int   // this process, as in the log
 	shared     bool  // what may be used is split with another process
@@ -38,25 +39,25 @@
 // wait returns with the lock, or with false once stop is closed.
 func (o *owner) wait(dir string, stop <-chan struct{}) (bool, error) {
 	var err error
-	if o.lock, err = openLock(dir, lockName); err != nil {
+	if o.lock, err = wal.OpenLock(dir, wal.LockName); err != nil {
 		return false, err
 	}
-	if o.next, err = openLock(dir, nextName); err != nil {
-		o.lock.close()
+	if o.next, err = wal.OpenLock(dir, wal.NextName); err != nil {
+		o.lock.Close()
 		return false, err
 	}
 	tick := time.NewTicker(ownerWait)
 	defer tick.Stop()
 	for wish := false; ; {
-		got, err := o.lock.try()
+		got, err := o.lock.Try()
 		if got && wish {
-			err = o.next.free()
+			err = o.next.Free()
 		}
 		if got || err != nil {
 			return err == nil, err
 		}
 		if !wish {
-			if wish, err = o.next.try(); err != nil {
+			if wish, err = o.next.Try(); err != nil {
 				return false, err
 			}
 		}
@@ -70,8 +71,8 @@
 }
 
 func (o *owner) close() {
-	o.lock.close()
-	o.next.close()
+	o.lock.Close()
+	o.next.Close()
 }
 
 // every is how long the loop may wait at most.
@@ -85,25 +86,44 @@
 // openLog takes up the log: what is owed, what the process before left of its
 // policy's memory, and its calls, if it lives.
 func (r *Relay) openLog() (owed int, err error) {
-	w, recs, side, err := openWAL(r.cfg.State, int64(r.cfg.Limits.DiskMB)<<20, r.log)
+	w, err := wal.Open(wal.Options{Now: func() int64 { return r.wall(r.now()) }, Dir: r.cfg.State, Limit: int64(r.cfg.Limits.DiskMB) << 20, Promise: r.cfg.Promise, FS: r.cfg.FS, Log: r.log,
+		Failed: func(err error) { r.in.Put(happening{failed: err}) }})
 	if err != nil {
 		return 0, err
 	}
-	r.wal, r.owner.side, r.owner.by, r.owner.walStop = w, side, w.by, make(chan struct{})
-	go w.run(r.owner.walStop)
+	r.wal, r.owner.side, r.owner.by, r.owner.walStop = w, w.Side, w.By, make(chan struct{})
 	r.far = map[string]*message{}
-	if w.memory != nil {
-		r.recall(w.memory)
+	if w.Memory != nil {
+		r.recall(w.Memory)
 	}
+	// A clock that was set back would put every deadline off, by hours maybe: time
+	// goes on from where the log left it.
+	if back := w.Last - r.wall(r.now()); back > 0 {
+		r.skew += back
+		r.log.Warn("the clock was set back since the log was written last", "by", time.Duration(back)*time.Microsecond)
+	}
+	owed = w.Owed()
+	for _, d := range w.Found.Damage {
+		r.fig.damaged.Add(1)
+		r.fig.concerned.Add(int64(d.Concerned))
+	}
+	r.fig.lost.Add(int64(len(w.Found.Lost)))
+	recs := w.Next(resumeMost)
+	r.resuming = w.Owed() > 0
+	r.fig.unread.Store(int64(w.Owed()))
+	go w.Run(r.owner.walStop)
 	r.restore(recs)
-	return len(recs), nil
+	if r.resuming {
+		r.resumeNext()
+	}
+	return owed, nil
 }
 
 // closeLog ends the log's goroutine, once all is written.
 func (r *Relay) closeLog() {
 	if r.owner.walStop != nil {
 		close(r.owner.walStop)
-		<-r.wal.done
+		<-r.wal.Done()
 		r.owner.walStop = nil
 	}
 }
@@ -161,7 +181,7 @@
 		return nil
 	}
 	r.owner.lookAt = time.Now().Add(ownerLook)
-	wished, err := r.owner.next.held()
+	wished, err := r.owner.next.Held()
 	if err != nil {
 		r.log.Error("upgrade", "err", err)
 		return nil
@@ -171,7 +191,7 @@
 		r.passOn()
 	case r.owner.freed && !wished:
 		// The next process lets go of that lock only once it holds the other.
-		got, err := r.owner.lock.try()
+		got, err := r.owner.lock.Try()
 		if got {
 			r.log.Warn("the next process is gone")
 			return r.takeOver()
@@ -193,7 +213,8 @@
 		r.log.Error("the policy's memory is not passed on", "err", err)
 		text = []byte("{}")
 	}
-	r.owner.passed = true
+	r.owner.passed, r.resuming = true, false
+	r.fig.unread.Store(0)
 	for _, m := range r.msgs {
 		if e := m.ending; e != nil { // its client hears of it this moment
 			m.ending = nil
@@ -212,9 +233,9 @@
 	}
 	r.share()
 	lock := r.owner.lock
-	r.wal.submit(&record{Kind: recPass, ID: noMessage, body: text}, func(err error) {
+	r.wal.Submit(&wal.Record{Kind: wal.Pass, ID: wal.NoMessage, Body: text}, func(err error) {
 		if err == nil {
-			err = lock.free()
+			err = lock.Free()
 		}
 		if err != nil {
 			r.log.Error("not passed on", "err", err)
@@ -246,7 +267,7 @@
 func (r *Relay) takeOnFor(q *request) {
 	m := &message{rec: q.rec, class: q.class, logged: true, away: true}
 	r.ids[q.rec.ID], r.waiting[q] = m, m
-	r.wal.submit(q.rec, func(err error) {
+	r.wal.Submit(q.rec, func(err error) {
 		if err != nil {
 			r.in.Put(happening{lost: q})
 			return
@@ -258,8 +279,8 @@
 // follow reads what the process before tells in its side log.
 func (r *Relay) follow() {
 	s := r.owner.side
-	dead := s.dead() // first: nothing can come after it
-	for _, rec := range s.read() {
+	dead := s.Dead() // first: nothing can come after it
+	for _, rec := range s.Read() {
 		r.heard(rec)
 	}
 	if !dead {
@@ -267,53 +288,53 @@
 	}
 	r.log.Info("the process before is gone", "calls", len(r.far))
 	for _, m := range r.far { // nobody saw how these ended
-		r.cameBack(m, &record{Kind: recOutcome, ID: m.rec.ID, Ran: true, What: decide.Cancelled})
+		r.cameBack(m, &wal.Record{Kind: wal.Outcome, ID: m.rec.ID, Ran: true, What: uint8(decide.Cancelled)})
 	}
 	w := r.wal
-	w.submit(&record{Kind: recMark, ID: noMessage, By: r.owner.by, Side: s.at}, func(error) { w.sideDone(s) })
+	w.Submit(&wal.Record{Kind: wal.Mark, ID: wal.NoMessage, By: r.owner.by, Side: s.At()}, func(error) { w.SideDone(s) })
 	r.owner.side = nil
 	r.share()
 }
 
 // heard books a record of the side log.
-func (r *Relay) heard(rec *record) {
+func (r *Relay) heard(rec *wal.Record) {
 	m := r.ids[rec.ID]
 	switch far := r.far[rec.ID]; {
-	case rec.Kind == recTaken && m == nil:
+	case rec.Kind == wal.Taken && m == nil:
 		side := *rec
 		rec.Side = 0
-		r.restore([]*record{rec})
+		r.restore([]*wal.Record{rec})
 		m = r.ids[rec.ID]
 		if m == nil { // ended in the same breath
 			return
 		}
-		r.wal.submit(&side, func(err error) {
+		r.wal.Submit(&side, func(err error) {
 			if err != nil {
 				r.in.Put(happening{unkept: m})
 			}
 		})
-	case far != nil && (rec.Kind == recOutcome || rec.Kind == recEnd):
+	case far != nil && (rec.Kind == wal.Outcome || rec.Kind == wal.End):
 		r.cameBack(far, rec)
-	case m != nil && rec.Kind == recEnd: // its client left before it heard
+	case m != nil && rec.Kind == wal.End: // its client left before it heard
 		m.over = true
 		r.drop(m)
 		r.events = append(r.events, decide.Event{Kind: decide.EvWithdraw, Message: m.num})
-		r.wal.submit(rec, nil)
+		r.wal.Submit(rec, nil)
 	}
 }
 
 // cameBack books the end of a call that the process before had out.
-func (r *Relay) cameBack(m *message, rec *record) {
+func (r *Relay) cameBack(m *message, rec *wal.Record) {
 	delete(r.far, m.rec.ID)
 	m.far = false
-	settled := rec.Kind == recEnd
-	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: m.tries - 1, Outcome: rec.What, Slots: rec.Slots,
+	settled := rec.Kind == wal.End
+	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: m.tries - 1, Outcome: decide.Outcome(rec.What), Slots: rec.Slots,
 		Settled: settled || m.over, Took: rec.Took}
 	if rec.Wait != 0 {
 		e.Wait = max(r.fromWall(rec.Wait)-r.now(), 1)
 	}
 	r.events = append(r.events, e)
-	r.wal.submit(rec, nil)
+	r.wal.Submit(rec, nil)
 	if m.over {
 		delete(r.msgs, m.num)
 	} else if settled {
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -21,6 +21,7 @@
 	"troutusher/internal/discovery"
 	"troutusher/internal/discovery/discoverytest"
 	"troutusher/internal/loopback"
+	"troutusher/internal/wal"
 )
 
 // says reports whether a relay's own address says that it can serve.
@@ -96,7 +97,7 @@
 		u.put(u.kept, id, f)
 	}
 	waitFor(t, "the calls", func() bool { return u.entered.Load() == 2 && u.waits.count("waits") == 1 })
-	waitFor(t, "the outcome in the log", func() bool { return u.logged(walName, `"kind":"outcome","id":"waits"`) })
+	waitFor(t, "the outcome in the log", func() bool { return logged(u.env["ROUTER_STATE"], wal.Outcome, "waits") })
 	return u
 }
 
@@ -107,11 +108,6 @@
 	}
 }
 
-func (u *upgrade) logged(file, text string) bool {
-	b, err := os.ReadFile(filepath.Join(u.env["ROUTER_STATE"], file))
-	return err == nil && strings.Contains(string(b), text)
-}
-
 func (u *upgrade) beside() {
 	env := maps.Clone(u.env)
 	env["ROUTER_OPERATOR"] = loopback.Free()
@@ -186,7 +182,7 @@
 	u.put(cl, "after", fields("once", 20000, 1))
 	u.delivered(u.quick, "after")
 	waitFor(t, "the end of the side log", func() bool {
-		_, err := os.Stat(filepath.Join(u.env["ROUTER_STATE"], sideName))
+		_, err := os.Stat(filepath.Join(u.env["ROUTER_STATE"], wal.SideName))
 		return errors.Is(err, os.ErrNotExist)
 	})
 	u.once("out", "keyed", "late", "held", "late5", "after")
@@ -274,22 +270,22 @@
 // that is told to stop ends.
 func TestUpgradeWaiting(t *testing.T) {
 	env := testConfig(t, discoverytest.New(t), 3)
-	lock, err := openLock(env["ROUTER_STATE"], lockName)
+	lock, err := wal.OpenLock(env["ROUTER_STATE"], wal.LockName)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer lock.close()
-	if got, err := lock.try(); !got {
+	defer lock.Close()
+	if got, err := lock.Try(); !got {
 		t.Fatal(err)
 	}
-	next, err := openLock(env["ROUTER_STATE"], nextName)
+	next, err := wal.OpenLock(env["ROUTER_STATE"], wal.NextName)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer next.close()
+	defer next.Close()
 	wished := func(want bool) func() bool {
 		return func() bool {
-			got, err := next.held()
+			got, err := next.Held()
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -312,122 +308,6 @@
 	}
 }
 
-// Guards the logs at the moment they change hands, for a kill at any byte of
-// either: what was taken on is there, once, and booked no further than it was.
-func TestPassedLogCut(t *testing.T) {
-	build := func(dir string) {
-		w, _ := openTestWAL(t, dir, 1<<20)
-		mustAppend(t, w, taken("a", "A"), taken("b", "B"), &record{Kind: recAttempt, ID: "b", At: 5, To: "s-1", By: w.by})
-		if err := w.pass(&record{Kind: recPass, ID: noMessage, body: []byte("memory")}); err != nil {
-			t.Fatal(err)
-		}
-		mustAppend(t, w, taken("c", "C"), &record{Kind: recOutcome, ID: "b"})
-		w.file.Close() // killed
-	}
-	whole := t.TempDir()
-	build(whole)
-	for _, name := range []string{walName, sideName} {
-		text, err := os.ReadFile(filepath.Join(whole, name))
-		if err != nil {
-			t.Fatal(err)
-		}
-		for cut := range text {
-			dir := t.TempDir()
-			for _, other := range []string{walName, sideName} {
-				b, err := os.ReadFile(filepath.Join(whole, other))
-				if err != nil {
-					t.Fatal(err)
-				}
-				if other == name {
-					b = b[:cut]
-				}
-				if err := os.WriteFile(filepath.Join(dir, other), b, 0o600); err != nil {
-					t.Fatal(err)
-				}
-			}
-			_, first := openTestWAL(t, dir, 1<<20)
-			_, second := openTestWAL(t, dir, 1<<20)
-			if fmt.Sprint(describe(first)) != fmt.Sprint(describe(second)) {
-				t.Fatalf("%s cut at %d: %v, then %v", name, cut, describe(first), describe(second))
-			}
-			if name == sideName && (len(first) < 2 || first[0].ID != "a" || first[1].ID != "b" || first[1].Tries != 1) {
-				t.Fatalf("%s cut at %d: %v", name, cut, describe(first))
-			}
-		}
-	}
-	if _, owed := openTestWAL(t, whole, 1<<20); len(owed) != 3 || owed[1].Doubt != 0 {
-		t.Errorf("whole: %v", describe(owed))
-	}
-}
-
-func describe(recs []*record) (all []string) {
-	for _, r := range recs {
-		all = append(all, fmt.Sprintf("%s %d %d", r.ID, r.Tries, r.Doubt))
-	}
-	return all
-}
-
-// Guards against booking a record of the side log twice: what the next process
-// has done since must not be undone by reading it again.
-func TestSideLogBookedOnce(t *testing.T) {
-	dir := t.TempDir()
-	old, _ := openTestWAL(t, dir, 1<<20)
-	mustAppend(t, old, taken("a", "A"), &record{Kind: recAttempt, ID: "a", At: 5, To: "s-1", By: old.by})
-	if err := old.pass(&record{Kind: recPass, ID: noMessage}); err != nil {
-		t.Fatal(err)
-	}
-	mustAppend(t, old, &record{Kind: recOutcome, ID: "a"}, taken("b", "B"))
-	next, owed, side, err := openWAL(dir, 1<<20, quietLog())
-	if err != nil || side == nil || len(owed) != 1 || owed[0].OutTo != "s-1" {
-		t.Fatalf("%v, side log %v, %v", describe(owed), side, err)
-	}
-	for _, r := range side.read() {
-		mustAppend(t, next, r)
-	}
-	mustAppend(t, next, &record{Kind: recAttempt, ID: "a", At: 9, To: "s-1", By: next.by}, &record{Kind: recEnd, ID: "b"})
-	next.file.Close() // killed, and the old one, too
-	old.file.Close()
-	side.f.Close()
-	if _, owed := openTestWAL(t, dir, 1<<20); len(owed) != 1 || owed[0].ID != "a" || owed[0].Tries != 2 || owed[0].Doubt != 9 {
-		t.Errorf("%v", describe(owed))
-	}
-}
-
-// Guards the disk while two processes write: both logs and a compaction fit.
-func TestSideLogBounded(t *testing.T) {
-	const limit = 1 << 20
-	for _, full := range []bool{false, true} {
-		dir := t.TempDir()
-		old, _ := openTestWAL(t, dir, limit)
-		body := strings.Repeat("b", 8<<10)
-		for i := 0; full || i < 4; i++ {
-			if old.append(taken(strconv.Itoa(i), body)) != nil {
-				break
-			}
-		}
-		if err := old.pass(&record{Kind: recPass, ID: noMessage, body: []byte(strings.Repeat("m", 8<<10))}); err != nil {
-			t.Fatal(err)
-		}
-		next, _, side, err := openWAL(dir, limit, quietLog())
-		if err != nil || side == nil {
-			t.Fatal(err)
-		}
-		for i := range 400 {
-			old.append(taken("o"+strconv.Itoa(i), body))
-			next.append(taken("n"+strconv.Itoa(i), body))
-			if old.size+next.size+next.owed > limit {
-				t.Fatalf("full %v: %d in the side log, %d in the log, %d to compact", full, old.size, next.size, next.owed)
-			}
-		}
-		for i := range 50 { // how its calls ended still fits
-			mustAppend(t, old, &record{Kind: recEnd, ID: "o" + strconv.Itoa(i)})
-		}
-		old.file.Close()
-		next.file.Close()
-		side.f.Close()
-	}
-}
-
 // Guards the clients of a listener that closes: what waits there is taken in.
 func TestStopListening(t *testing.T) {
 	ln, err := listen(t.Context(), "127.0.0.1:0")
--- /dev/null
+++ b/internal/wal/damage_test.go
@@ -0,0 +1,399 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// build writes the script, with a checkpoint after so many records, and gives
+// the folder's files by name.
+func build(t *testing.T, checkpoint int) (dir string, text map[string][]byte) {
+	t.Helper()
+	dir = t.TempDir()
+	l, _ := openTest(t, dir, 1<<20)
+	for i, r := range script() {
+		if i == checkpoint {
+			if err := l.c.finishCheckpoint(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		mustAppend(t, l, r)
+	}
+	l.c.shut()
+	text = map[string][]byte{}
+	entries, err := os.ReadDir(filepath.Join(dir, Name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		b, err := os.ReadFile(filepath.Join(dir, Name, e.Name()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text[e.Name()] = b
+	}
+	return dir, text
+}
+
+func put(t *testing.T, text map[string][]byte) (dir string) {
+	t.Helper()
+	dir = t.TempDir()
+	if err := os.Mkdir(filepath.Join(dir, Name), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	for name, b := range text {
+		if err := os.WriteFile(filepath.Join(dir, Name, name), b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+// safe checks what holds whatever was damaged: nothing that was sent, or is
+// over, comes back as fit to be sent; nothing is missing without being told; and
+// the folder says the same when it is opened again.
+func safe(t *testing.T, dir, what string) {
+	t.Helper()
+	l, owed := openTest(t, dir, 1<<20)
+	have := map[string]*Record{}
+	for _, r := range owed {
+		have[r.ID] = r
+		fit := !r.Lost && r.Doubt == 0 && r.Notice == ""
+		switch r.ID {
+		case "a": // its one attempt never ran; where damage took that it did not, it may have
+		case "b", "c", "d":
+			if fit {
+				t.Fatalf("%s: %s comes back as never sent: %+v; found %+v", what, r.ID, r, l.Found)
+			}
+		case "e":
+			if fit {
+				t.Fatalf("%s: e was over, and comes back as fit to be sent; found %+v", what, l.Found)
+			}
+		default:
+			t.Fatalf("%s: %q was never taken on", what, r.ID)
+		}
+	}
+	for _, id := range []string{"a", "b", "c", "e"} {
+		if have[id] == nil && l.Found.Sound() {
+			t.Fatalf("%s: %s is gone, and nobody was told", what, id)
+		}
+	}
+	l.c.shut()
+	again, then := openTest(t, dir, 1<<20)
+	if got, want := describe(then), describe(owed); !slices.Equal(got, want) {
+		t.Fatalf("%s: first %q, then %q", what, want, got)
+	}
+	again.c.shut()
+}
+
+// Hard case 2: a flipped bit in each byte of each record kind, in segments and
+// in a checkpoint. Attempts of b and c, the end of d and e must not be hidden.
+func TestFlippedBitAnywhere(t *testing.T) {
+	for _, at := range []int{-1, 8, 12} {
+		_, text := build(t, at)
+		for name, b := range text {
+			for i := range b {
+				for _, bit := range []int{i % 8} {
+					spoilt := map[string][]byte{}
+					for n, x := range text {
+						spoilt[n] = x
+					}
+					spoilt[name] = slices.Clone(b)
+					spoilt[name][i] ^= 1 << bit
+					safe(t, put(t, spoilt), fmt.Sprintf("checkpoint at %d: %s, byte %d, bit %d", at, name, i, bit))
+				}
+			}
+		}
+	}
+}
+
+// Hard case 2: a file cut at any byte, and zeros after it.
+func TestCutAndZerosAnywhere(t *testing.T) {
+	for _, at := range []int{-1, 8} {
+		_, text := build(t, at)
+		for name, b := range text {
+			if name == markName {
+				continue
+			}
+			for i := range b {
+				for _, zeros := range []int{i % 2 * 700} {
+					spoilt := map[string][]byte{}
+					for n, x := range text {
+						spoilt[n] = x
+					}
+					spoilt[name] = append(slices.Clone(b[:i]), make([]byte, zeros)...)
+					safe(t, put(t, spoilt), fmt.Sprintf("checkpoint at %d: %s cut at %d, %d zeros", at, name, i, zeros))
+				}
+			}
+		}
+	}
+}
+
+// A kill in the middle of a write leaves the mark behind what is whole: nothing
+// is damaged, and nothing is held to have been sent.
+func TestTornByAKillIsNoDamage(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openTest(t, dir, 1<<20)
+	mustAppend(t, l, taken("a", "A"), taken("b", "B"))
+	whole := l.c.at
+	for _, torn := range [][]byte{{0xf7}, []byte(recordMark + "\x00\x00"), func() []byte {
+		b, _ := appendRecord(nil, &Record{Kind: Attempt, ID: "b", At: 5, To: "s"}, l.c.seq+1, l.c.salt, nil)
+		return b[:len(b)-3]
+	}()} {
+		if _, err := l.c.cur.f.WriteAt(torn, whole); err != nil {
+			t.Fatal(err)
+		}
+		report, err := Inspect(nil, dir)
+		if err != nil || !report.Sound() || len(report.Torn) != 1 || report.Owed != 2 {
+			t.Fatalf("%v, %+v", err, report)
+		}
+		if err := l.c.cur.f.Truncate(whole); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Whole records that are gone from the end are noticed, though what is left is
+// sound: the mark has the last one's number.
+func TestMissingEndIsNoticed(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openTest(t, dir, 1<<20)
+	mustAppend(t, l, taken("a", "A"), taken("b", "B"))
+	whole := l.c.at
+	mustAppend(t, l, &Record{Kind: Attempt, ID: "b", At: 5, To: "s"}, &Record{Kind: Outcome, ID: "b"})
+	if err := l.c.cur.f.Truncate(whole); err != nil {
+		t.Fatal(err)
+	}
+	l.c.shut()
+	l, owed := openTest(t, dir, 1<<20)
+	if len(owed) != 2 || owed[1].Doubt == 0 || l.Found.Sound() {
+		t.Fatalf("%q, found %+v", describe(owed), l.Found)
+	}
+	mustAppend(t, l, taken("c", "C"))
+	l.c.shut()
+	if l, owed = openTest(t, dir, 1<<20); len(owed) != 3 || owed[2].Doubt != 0 {
+		t.Errorf("then %q", describe(owed))
+	}
+}
+
+// segments makes a folder of several.
+func segments(t *testing.T) (text map[string][]byte) {
+	t.Helper()
+	dir := t.TempDir()
+	l, _ := openTest(t, dir, 1<<20)
+	for i, r := range script() {
+		if i%3 == 2 {
+			if err := l.c.roll(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		mustAppend(t, l, r)
+	}
+	l.c.shut()
+	text = map[string][]byte{}
+	for _, path := range append(files(t, dir, segmentSuffix), filepath.Join(dir, Name, markName)) {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text[filepath.Base(path)] = b
+	}
+	if len(text) < 5 {
+		t.Fatalf("%d files", len(text))
+	}
+	return text
+}
+
+// Hard case 2: a segment missing, swapped, doubled, emptied, or from another
+// relay, with the mark and without it.
+func TestSegmentsOutOfPlace(t *testing.T) {
+	text, foreign := segments(t), segments(t)
+	var names []string
+	for name := range text {
+		if name != markName {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, withMark := range []bool{true, false} {
+		spoil := func(what string, f func(m map[string][]byte)) {
+			m := map[string][]byte{}
+			for n, b := range text {
+				if n != markName || withMark {
+					m[n] = b
+				}
+			}
+			f(m)
+			safe(t, put(t, m), what)
+		}
+		for i, name := range names {
+			spoil(name+" missing", func(m map[string][]byte) { delete(m, name) })
+			spoil(name+" emptied", func(m map[string][]byte) { m[name] = nil })
+			spoil(name+" doubled", func(m map[string][]byte) { m["0000ffff"+segmentSuffix] = m[name] })
+			spoil(name+" of another relay", func(m map[string][]byte) { m[name] = foreign[name] })
+			for _, other := range names[i+1:] {
+				spoil(name+" and "+other+" swapped", func(m map[string][]byte) { m[name], m[other] = m[other], m[name] })
+			}
+		}
+	}
+	dir := put(t, text)
+	if report, err := Inspect(nil, dir); err != nil || !report.Sound() {
+		t.Errorf("untouched: %v, %+v", err, report)
+	}
+}
+
+// A damaged body takes one message and names it; the others are not concerned.
+func TestADamagedBodyConcernsItsMessage(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openTest(t, dir, 1<<20)
+	mustAppend(t, l, taken("first-one", "A"), taken("second-one", strings.Repeat("body", 40)), taken("third-one", "C"))
+	path := files(t, dir, segmentSuffix)[0]
+	l.c.shut()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b[strings.Index(string(b), "bodybody")+9] ^= 4
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	l, owed := openTest(t, dir, 1<<20)
+	if len(owed) != 3 || owed[0].Doubt != 0 || owed[2].Doubt != 0 || !owed[1].Lost || owed[1].ID != "second-one" {
+		t.Fatalf("%q", describe(owed))
+	}
+	if !slices.Equal(l.Found.Lost, []string{"second-one"}) {
+		t.Errorf("lost %v", l.Found.Lost)
+	}
+	// The damaged file is kept, and the loss is known until its notice is out.
+	if err := l.c.finishCheckpoint(); err != nil {
+		t.Fatal(err)
+	}
+	if kept, _ := filepath.Glob(filepath.Join(dir, Name, asidePrefix+"-*")); len(kept) != 1 {
+		t.Errorf("kept aside: %v", kept)
+	}
+	l.c.shut()
+	l, owed = openTest(t, dir, 1<<20)
+	if len(owed) != 3 || !owed[1].Lost || !slices.Equal(l.Found.Lost, []string{"second-one"}) || len(l.Found.Damage) > 0 {
+		t.Fatalf("then %q, found %+v", describe(owed), l.Found)
+	}
+	mustAppend(t, l, &Record{Kind: Ending, ID: "second-one", Notice: "given-up"}, &Record{Kind: End, ID: "second-one"})
+	l.c.shut()
+	if _, owed = openTest(t, dir, 1<<20); len(owed) != 2 {
+		t.Errorf("at last %q", describe(owed))
+	}
+}
+
+// Hard case 2: a folder of a newer version is refused, and left as it is.
+func TestANewerFolderIsRefused(t *testing.T) {
+	_, text := build(t, -1)
+	h, _ := decodeHeader(text[segmentName(1)])
+	b := h.encode()
+	b[9], b[headerCopy+9] = formVersion+1, formVersion+1
+	for at := 0; at < headerSize; at += headerCopy {
+		sum(b[at : at+headerCopy])
+	}
+	copy(text[segmentName(1)], b)
+	dir := put(t, text)
+	if _, err := Open(Options{Dir: dir, Limit: 1 << 20}); !errors.Is(err, ErrNewer) || !strings.Contains(err.Error(), segmentName(1)) {
+		t.Fatalf("got %v", err)
+	}
+	if got, err := os.ReadFile(filepath.Join(dir, Name, segmentName(1))); err != nil || !slices.Equal(got, text[segmentName(1)]) {
+		t.Error("changed")
+	}
+}
+
+// Bytes that a client sends are never read as a record, though they look like one.
+func TestABodyIsNoRecord(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openTest(t, dir, 1<<20)
+	forged, err := appendRecord(nil, &Record{Kind: End, ID: "victim"}, 3, 0, nil) // it does not know the salt
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustAppend(t, l, taken("carrier", string(forged)), taken("victim", "V"))
+	path := files(t, dir, segmentSuffix)[0]
+	l.c.shut()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b[strings.Index(string(b), "carrier")-1] ^= 1 // its frame is gone: what follows is searched for records
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, owed := openTest(t, dir, 1<<20); !slices.ContainsFunc(owed, func(r *Record) bool { return r.ID == "victim" && !r.Lost }) {
+		t.Errorf("%q", describe(owed))
+	}
+}
+
+func FuzzFolder(f *testing.F) {
+	dir := f.TempDir()
+	l, err := Open(Options{Dir: dir, Limit: 1 << 20})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, r := range script() {
+		l.c.append([]*Record{r})
+	}
+	l.c.shut()
+	good, err := os.ReadFile(filepath.Join(dir, Name, segmentName(1)))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good, 0, []byte{}, uint8(0))
+	f.Add(good[:200], 150, []byte("noise"), uint8(1))
+	f.Fuzz(func(t *testing.T, b []byte, at int, more []byte, name uint8) {
+		if at < 0 || at > len(b) {
+			return
+		}
+		text := map[string][]byte{segmentName(1): append(slices.Clone(b[:at]), more...), segmentName(2): b[at:]}
+		if name%2 == 1 {
+			text[ckpName(uint32(name))] = b
+		}
+		dir := put(t, text)
+		l, err := Open(Options{Dir: dir, Limit: 1 << 20})
+		if err != nil {
+			return // refused: newer, or no files
+		}
+		first := describe(l.Next(1 << 20))
+		if err := l.c.append([]*Record{taken("after", "x")})[0]; err != nil && !errors.Is(err, ErrFull) {
+			t.Fatal(err)
+		}
+		l.c.shut()
+		l, err = Open(Options{Dir: dir, Limit: 1 << 20})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.c.shut()
+		if then := l.Next(1 << 20); len(then) < len(first) {
+			t.Fatalf("%d owed, then %d", len(first), len(then))
+		}
+	})
+}
+
+func FuzzRecord(f *testing.F) {
+	for _, r := range script() {
+		b, err := appendRecord(nil, r, 1, 7, nil)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s := &Side{salt: 7}
+		if r, n := s.decode(b); n > len(b) || (r == nil) != (n == 0) {
+			t.Fatalf("%d bytes of %d: %+v", n, len(b), r)
+		}
+		var r Record
+		for _, k := range kinds { // a rest that was not summed
+			r = Record{Kind: k}
+			decodeRest(&r, b)
+		}
+		decodeMessage(&r, b)
+	})
+}
--- /dev/null
+++ b/internal/wal/index.go
@@ -0,0 +1,162 @@
+package wal
+
+import "hash/maphash"
+
+// index finds the entry of each message that is owed. It keeps neither ids nor
+// bodies: a message is known by 96 bits of two seeded hashes of its id, and all
+// else is read from where its record stands. So it takes some 56 bytes a message
+// and holds no pointers.
+type index struct {
+	seeds  [2]maphash.Seed
+	slots  []uint32 // place of an entry and 1, by hash; 0 for none
+	chunks []*[chunkSize]entry
+	used   uint32 // entries drawn so far
+	free   []uint32
+	live   int
+	extras map[uint32]*extra
+}
+
+const chunkSize = 4096
+
+type key struct {
+	a uint64
+	b uint32
+}
+
+// entry is one message that is owed.
+type entry struct {
+	a     uint64
+	seq   uint64 // of its taken record: what was owed longer has the smaller
+	doubt int64
+	b     uint32
+	src   uint32 // the file that holds its record; 0 where damage took that
+	off   uint32
+	size  uint32 // of the record
+	asof  uint32 // its last record's sequence number, counted from seq
+	tries uint8
+	flags uint8
+	in    int16 // doubt: the zone
+}
+
+const (
+	entryLive  = 1 << iota
+	entryRead  // handed out to the relay
+	entryExtra // there is more in extras
+)
+
+// extra is what few messages have at a time.
+type extra struct {
+	out     int64
+	outIn   int
+	outBy   int
+	outTo   string
+	notice  string
+	retryMS int64
+	lost    string // its id, where its record is lost
+}
+
+func newIndex() *index {
+	return &index{seeds: [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()}, slots: make([]uint32, 1024), extras: map[uint32]*extra{}}
+}
+
+func (x *index) key(id []byte) key {
+	return key{maphash.Bytes(x.seeds[0], id), uint32(maphash.Bytes(x.seeds[1], id))}
+}
+
+func (x *index) keyOf(id string) key {
+	return key{maphash.String(x.seeds[0], id), uint32(maphash.String(x.seeds[1], id))}
+}
+
+func (x *index) at(i uint32) *entry { return &x.chunks[i/chunkSize][i%chunkSize] }
+
+// find gives the entry's place; ok is false where there is none.
+func (x *index) find(k key) (i uint32, ok bool) {
+	mask := uint64(len(x.slots) - 1)
+	for s := k.a & mask; x.slots[s] != 0; s = (s + 1) & mask {
+		if i = x.slots[s] - 1; x.at(i).a == k.a && x.at(i).b == k.b {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// add makes an entry for a key that has none.
+func (x *index) add(k key) (uint32, *entry) {
+	if 4*(x.live+1) > 3*len(x.slots) {
+		x.grow()
+	}
+	var i uint32
+	if n := len(x.free); n > 0 {
+		i, x.free = x.free[n-1], x.free[:n-1]
+	} else {
+		if i = x.used; i/chunkSize >= uint32(len(x.chunks)) {
+			x.chunks = append(x.chunks, new([chunkSize]entry))
+		}
+		x.used++
+	}
+	e := x.at(i)
+	*e = entry{a: k.a, b: k.b, flags: entryLive}
+	x.put(i, k.a)
+	x.live++
+	return i, e
+}
+
+func (x *index) put(i uint32, a uint64) {
+	mask := uint64(len(x.slots) - 1)
+	s := a & mask
+	for x.slots[s] != 0 {
+		s = (s + 1) & mask
+	}
+	x.slots[s] = i + 1
+}
+
+func (x *index) grow() {
+	old := x.slots
+	x.slots = make([]uint32, 2*len(old))
+	for _, s := range old {
+		if s != 0 {
+			x.put(s-1, x.at(s-1).a)
+		}
+	}
+}
+
+// remove takes an entry out. What follows it in its row of slots moves up, so
+// that no mark of the removed has to stay.
+func (x *index) remove(i uint32) {
+	mask := uint64(len(x.slots) - 1)
+	s := x.at(i).a & mask
+	for x.slots[s] != i+1 {
+		s = (s + 1) & mask
+	}
+	for next := (s + 1) & mask; x.slots[next] != 0; next = (next + 1) & mask {
+		home := x.at(x.slots[next]-1).a & mask
+		if (next-home)&mask >= (next-s)&mask {
+			x.slots[s], s = x.slots[next], next
+		}
+	}
+	x.slots[s] = 0
+	if x.at(i).flags&entryExtra != 0 {
+		delete(x.extras, i)
+	}
+	*x.at(i) = entry{}
+	x.free = append(x.free, i)
+	x.live--
+}
+
+// more is the entry's extra, made where there is none.
+func (x *index) more(i uint32) *extra {
+	e := x.at(i)
+	if e.flags&entryExtra == 0 {
+		e.flags |= entryExtra
+		x.extras[i] = &extra{}
+	}
+	return x.extras[i]
+}
+
+// lessen drops an extra that says nothing any more.
+func (x *index) lessen(i uint32) {
+	if m := x.extras[i]; m != nil && *m == (extra{}) {
+		delete(x.extras, i)
+		x.at(i).flags &^= entryExtra
+	}
+}
--- /dev/null
+++ b/internal/wal/inspect.go
@@ -0,0 +1,98 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+)
+
+// Inspect tells what opening a state folder would find, and changes nothing. fs
+// is nil for the machine's own. The folder may be in use: then the end of the log
+// may be in the middle of a write.
+func Inspect(fs FS, dir string) (*Report, error) {
+	if fs == nil {
+		fs = OS{}
+	}
+	s, err := readState(fs, dir)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	return &s.report, nil
+}
+
+// Dump gives every sound record of a state folder in the order of the files, and
+// the side log's last. It stops where each gives false.
+func Dump(fs FS, dir string, each func(file string, at int64, seq uint64, r *Record) bool) error {
+	if fs == nil {
+		fs = OS{}
+	}
+	folder := filepath.Join(dir, Name)
+	_, isDir, err := fs.Stat(folder)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("log: %w", err)
+	}
+	var paths []string
+	if isDir {
+		names, err := fs.List(folder)
+		if err != nil {
+			return fmt.Errorf("log: %w", err)
+		}
+		slices.Sort(names)
+		for _, suffix := range []string{ckpSuffix, segmentSuffix} {
+			for _, name := range names {
+				if _, ok := numOf(name, suffix); ok {
+					paths = append(paths, filepath.Join(Name, name))
+				}
+			}
+		}
+	} else if err == nil {
+		paths = append(paths, Name)
+	}
+	for _, name := range append(paths, SideName) {
+		src, err := openSource(fs, dir, name, Read)
+		if errors.Is(err, os.ErrNotExist) {
+			continue // gone meanwhile: a checkpoint covers it
+		}
+		if err != nil {
+			return err
+		}
+		on := dumpFile(src, each)
+		src.f.Close()
+		if !on {
+			return nil
+		}
+	}
+	return nil
+}
+
+func dumpFile(src *source, each func(file string, at int64, seq uint64, r *Record) bool) bool {
+	s := &Side{f: src.f, old: src.sound == 0, salt: saltOf(src.owner)}
+	if !s.old {
+		s.at = headerSize
+	}
+	scan := scanner{f: src.f, size: src.size, salt: s.salt}
+	for at := s.at; at < src.size; {
+		r, n := s.decode(scan.window(at, headSize+recordMost))
+		if n == 0 {
+			if s.old {
+				at = scan.resyncOld(at + 1)
+			} else {
+				at = scan.resync(at+1, 0)
+			}
+			continue
+		}
+		var seq uint64
+		if !s.old {
+			rec, _ := scan.record(at)
+			seq = rec.seq
+		}
+		if !each(src.name, at, seq, r) {
+			return false
+		}
+		at += int64(n)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/wal/log.go
@@ -0,0 +1,189 @@
+package wal
+
+import (
+	"slices"
+
+	"troutusher/internal/mailbox"
+)
+
+// op is a record to write, and what to do once that is done or has failed; or a
+// thing to do on the log's goroutine.
+type op struct {
+	rec  *Record
+	then func(error)
+	do   func()
+}
+
+// Log is a log that is open. Its goroutine alone touches the files; then-functions
+// run on it, in the order in which their records were handed over, and may not
+// wait. After a Pass, the log belongs to the next process.
+type Log struct {
+	c      *core
+	in     *mailbox.Mailbox[op]
+	done   chan struct{}
+	order  []uint32 // entries that were not read yet, what was owed longest first
+	seqs   []uint64 // of each: whether it is still the same
+	read   reader
+	Side   *Side  // of the process before, where that lives
+	By     int    // this process, among those that opened the log
+	Memory []byte // of the policy of the process that passed the log on; nil where none did
+	Found  Report
+	Last   int64 // when anything was booked last: a clock that is behind it was set back
+}
+
+// Open recovers what a folder holds and makes it ready. The caller holds the
+// lock, then runs Run on a goroutine of its own. Errors: ErrNewer, and those of
+// the file system.
+func Open(o Options) (*Log, error) {
+	c := newCore(o)
+	side, err := c.open()
+	if err != nil {
+		return nil, err
+	}
+	l := &Log{c: c, in: mailbox.New[op](), done: make(chan struct{}), Side: side, By: c.by, Memory: c.known, Found: c.report, Last: c.last}
+	l.order = make([]uint32, 0, c.idx.live)
+	for i := range c.idx.used {
+		if c.idx.at(i).flags&entryLive != 0 {
+			l.order = append(l.order, i)
+		}
+	}
+	slices.SortFunc(l.order, func(a, b uint32) int {
+		if x, y := c.idx.at(a).seq, c.idx.at(b).seq; x != y {
+			return int(int64(x) - int64(y))
+		}
+		return int(a) - int(b)
+	})
+	l.seqs = make([]uint64, len(l.order))
+	for n, i := range l.order {
+		l.seqs[n] = c.idx.at(i).seq
+	}
+	return l, nil
+}
+
+// Owed is how many messages were owed at the start and were not read yet. Before
+// Run, and on the log's goroutine.
+func (l *Log) Owed() int { return len(l.order) }
+
+// Next reads up to most messages that were owed at the start, what was owed
+// longest first; none once all are read. Before Run, and on the log's goroutine.
+func (l *Log) Next(most int) (recs []*Record) {
+	if l.c.after != nil {
+		return nil // they are the next process's
+	}
+	for len(l.order) > 0 && len(recs) < most {
+		i, seq := l.order[0], l.seqs[0]
+		l.order, l.seqs = l.order[1:], l.seqs[1:]
+		if e := l.c.idx.at(i); e.flags&entryLive == 0 || e.flags&entryRead != 0 || e.seq != seq {
+			continue
+		}
+		recs = append(recs, l.hand(i))
+	}
+	if len(l.order) == 0 {
+		l.order, l.seqs, l.read = nil, nil, reader{}
+	}
+	return recs
+}
+
+func (l *Log) hand(i uint32) *Record {
+	r, err := l.c.message(i, &l.read)
+	if err != nil {
+		l.c.log.Error("log: message is lost", "id", r.ID, "err", err)
+		r.Lost = true
+	}
+	l.c.idx.at(i).flags |= entryRead
+	return r
+}
+
+// Fetch reads one message ahead of its turn; nil where it is not owed, or was
+// read already. Before Run, and on the log's goroutine.
+func (l *Log) Fetch(id string) *Record {
+	i, ok := l.c.idx.find(l.c.idx.keyOf(id))
+	if !ok || l.c.after != nil || l.c.idx.at(i).flags&entryRead != 0 {
+		return nil
+	}
+	return l.hand(i)
+}
+
+// Submit hands a record over. It never waits.
+func (l *Log) Submit(r *Record, then func(error)) { l.in.Put(op{rec: r, then: then}) }
+
+// Do has f run on the log's goroutine, after what was handed over before.
+func (l *Log) Do(f func()) { l.in.Put(op{do: f}) }
+
+// SideDone has the log do without the side log, all of which is in here and
+// whose process is dead. On the log's goroutine.
+func (l *Log) SideDone(s *Side) { l.c.sideDone(s) }
+
+// Done is closed once Run is over.
+func (l *Log) Done() <-chan struct{} { return l.done }
+
+// Run writes until stop is closed and everything handed over before is written.
+func (l *Log) Run(stop <-chan struct{}) {
+	defer close(l.done)
+	defer l.c.shut()
+	var ops []op
+	var recs []*Record
+	for stopping, more := false, l.c.job != nil; ; {
+		ops = l.in.TakeAll(ops)
+		for from := 0; from < len(ops); {
+			from += l.some(ops[from:], &recs)
+			more = l.c.tidy()
+		}
+		if len(ops) > 0 {
+			continue
+		}
+		if stopping {
+			return
+		}
+		if more {
+			select {
+			case <-l.in.Ready():
+			case <-stop:
+				stopping = true
+			default:
+				more = l.c.tidy()
+			}
+			continue
+		}
+		select {
+		case <-l.in.Ready():
+		case <-stop:
+			stopping = true
+		}
+	}
+}
+
+const opsMost = 512 // that are written as one
+
+// some carries out the first of ops, as many as go together.
+func (l *Log) some(ops []op, recs *[]*Record) (n int) {
+	*recs = (*recs)[:0]
+	for n < min(len(ops), opsMost) && ops[n].rec != nil && ops[n].rec.Kind != Pass {
+		*recs = append(*recs, ops[n].rec)
+		n++
+	}
+	if n == 0 {
+		switch x := &ops[0]; {
+		case x.do != nil:
+			x.do()
+		default:
+			err := l.c.pass(x.rec)
+			if err != nil {
+				l.c.log.Error("log: not passed on", "err", err)
+			}
+			if x.then != nil {
+				x.then(err)
+			}
+		}
+		return 1
+	}
+	for i, err := range l.c.append(*recs) {
+		if err != nil && err != ErrNotOwed {
+			l.c.log.Error("log: record not written", "kind", ops[i].rec.Kind, "message", ops[i].rec.ID, "err", err)
+		}
+		if then := ops[i].then; then != nil {
+			then(err)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/wal/log_test.go
@@ -0,0 +1,230 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// openTest opens a folder without a goroutine.
+func openTest(t testing.TB, dir string, limit int64) (*Log, []*Record) {
+	t.Helper()
+	l, err := Open(Options{Dir: dir, Limit: limit, Log: quiet()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.c.shut)
+	return l, l.Next(1 << 30)
+}
+
+func mustAppend(t testing.TB, l *Log, recs ...*Record) {
+	t.Helper()
+	for _, r := range recs {
+		if err := l.c.append([]*Record{r})[0]; err != nil {
+			t.Fatalf("%s of %s: %v", r.Kind, r.ID, err)
+		}
+	}
+}
+
+func taken(id string, body string) *Record {
+	return &Record{Kind: Taken, ID: id, Class: "keyed", Tenant: "acme", Key: "k", Dest: 7, Deadline: 1e15, Body: []byte(body)}
+}
+
+func describe(recs []*Record) (all []string) {
+	for _, r := range recs {
+		s := fmt.Sprintf("%s %s %d %d %s", r.ID, r.Body, r.Tries, r.Doubt, r.Notice)
+		if r.Lost {
+			s += "lost"
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// script is a history that has every kind of record.
+func script() []*Record {
+	return []*Record{taken("a", "A\n\x00"), taken("b", ""), taken("c", "C"), taken("d", "D"), taken("e", "E"),
+		{Kind: Attempt, ID: "a", At: 100, Zone: 1, To: "s-1", By: 1},
+		{Kind: Outcome, ID: "a", Ran: false},
+		{Kind: Attempt, ID: "b", At: 200, Zone: 1, To: "s-1", By: 1},
+		{Kind: Outcome, ID: "b", Ran: true},
+		{Kind: Attempt, ID: "b", At: 300, Zone: 0, To: "s-2", By: 1},
+		{Kind: Attempt, ID: "c", At: 400, Zone: 1, To: "s-1", By: 1}, // no outcome: it may have run
+		{Kind: End, ID: "d"},
+		{Kind: Ending, ID: "e", Notice: "handed-back", RetryMS: 20}}
+}
+
+// What is owed comes back with its state, in order, from segments and from a
+// checkpoint, however often the folder is opened.
+func TestRecovers(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openTest(t, dir, 1<<20)
+	mustAppend(t, l, script()...)
+	want := []string{"a A\n\x00 1 0 ", "b  2 200 ", "c C 1 400 ", "e E 0 0 handed-back"}
+	for n := range 4 {
+		l, owed := openTest(t, dir, 1<<20)
+		if got := describe(owed); !slices.Equal(got, want) {
+			t.Fatalf("opened %d times: got %q", n+1, got)
+		}
+		if r := owed[1]; r.Key != "k" || r.Class != "keyed" || r.Tenant != "acme" || r.Dest != 7 || r.Deadline != 1e15 || r.DoubtIn != 1 {
+			t.Errorf("got %+v", r)
+		}
+		if !l.Found.Sound() || len(l.Found.Torn) > 0 {
+			t.Fatalf("found %+v", l.Found)
+		}
+		if n == 1 {
+			if err := l.c.finishCheckpoint(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+// A checkpoint that is written while messages come and go holds each as it was
+// at some moment, and what came after is folded once.
+func TestCheckpointBesideTheLog(t *testing.T) {
+	for _, every := range []int{1, 3, 7} {
+		dir := t.TempDir()
+		l, _ := openTest(t, dir, 64<<20)
+		const n = 3000
+		for i := range n {
+			mustAppend(t, l, taken(strconv.Itoa(i), strings.Repeat("b", 300)))
+		}
+		if err := l.c.startCheckpoint(); err != nil {
+			t.Fatal(err)
+		}
+		steps := 0
+		for i := 0; l.c.job != nil; i++ {
+			id := strconv.Itoa(i % n)
+			switch i % 4 {
+			case 0:
+				mustAppend(t, l, &Record{Kind: Attempt, ID: id, At: int64(i + 1), By: l.By})
+			case 1:
+				mustAppend(t, l, &Record{Kind: End, ID: id}, taken(id, "again")) // an id that comes again
+			case 2:
+				mustAppend(t, l, taken("new"+strconv.Itoa(i), "n"))
+			case 3:
+				mustAppend(t, l, &Record{Kind: Attempt, ID: id, At: int64(i + 1), By: l.By}, &Record{Kind: Outcome, ID: id, Ran: true})
+			}
+			if i%every == 0 {
+				steps++
+				if _, err := l.c.stepCheckpoint(4 << 10); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		want := describe(remember(t, l))
+		_, owed := openTest(t, dir, 64<<20)
+		if got := describe(owed); !slices.Equal(got, want) || steps < 10 {
+			t.Fatalf("%d steps: %d owed, want %d", steps, len(got), len(want))
+		}
+	}
+}
+
+// remember is what an open log holds, as a restart has to find it.
+func remember(t *testing.T, l *Log) (recs []*Record) {
+	t.Helper()
+	type at struct {
+		r   *Record
+		seq uint64
+	}
+	var all []at
+	var from reader
+	for i := range l.c.idx.used {
+		if e := l.c.idx.at(i); e.flags&entryLive != 0 {
+			r, err := l.c.message(i, &from)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.settle()
+			all = append(all, at{r, e.seq})
+		}
+	}
+	slices.SortFunc(all, func(a, b at) int { return int(a.seq) - int(b.seq) })
+	for _, x := range all {
+		recs = append(recs, x.r)
+	}
+	return recs
+}
+
+// settle reads an attempt whose outcome nobody saw as one that may have run.
+func (t *Record) settle() {
+	if t.Out != 0 {
+		t.fold(&Record{Kind: Outcome, Ran: true})
+	}
+}
+
+// files gives the names of the log's own files, segments first.
+func files(t *testing.T, dir, suffix string) (names []string) {
+	t.Helper()
+	all, err := os.ReadDir(filepath.Join(dir, Name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range all {
+		if strings.HasSuffix(e.Name(), suffix) && !strings.HasPrefix(e.Name(), asidePrefix) {
+			names = append(names, filepath.Join(dir, Name, e.Name()))
+		}
+	}
+	return names
+}
+
+func diskSize(t *testing.T, dir string) (n int64) {
+	t.Helper()
+	err := filepath.Walk(dir, func(_ string, info os.FileInfo, err error) error {
+		if err == nil && !info.IsDir() {
+			n += blocks(info.Size())
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// Guards the disk: all files together stay under the limit at every moment, and
+// what was taken on can be ended even when nothing more fits.
+func TestBounded(t *testing.T) {
+	const limit = 1 << 20
+	dir := t.TempDir()
+	l, _ := openTest(t, dir, limit)
+	body := strings.Repeat("b", 64<<10)
+	n := 0
+	for ; ; n++ {
+		if err := l.c.append([]*Record{taken(strconv.Itoa(n), body)})[0]; err != nil {
+			if !errors.Is(err, ErrFull) {
+				t.Fatal(err)
+			}
+			break
+		}
+	}
+	if n == 0 {
+		t.Fatal("nothing fits")
+	}
+	for round := range 9000 { // far more than fits without a checkpoint
+		id := strconv.Itoa(round % n)
+		mustAppend(t, l, &Record{Kind: Attempt, ID: id, At: int64(round) + 1, To: "endpoint"}, &Record{Kind: Outcome, ID: id, Ran: true})
+		l.c.tidy()
+		if round%64 == 0 {
+			if size := diskSize(t, dir); size > limit || size != l.c.bytes {
+				t.Fatalf("round %d: %d bytes on disk, held to be %d", round, size, l.c.bytes)
+			}
+		}
+	}
+	for i := range n {
+		mustAppend(t, l, &Record{Kind: End, ID: strconv.Itoa(i)})
+	}
+	if l.c.owed != 0 {
+		t.Errorf("%d bytes owed by nobody", l.c.owed)
+	}
+	mustAppend(t, l, taken("next", body))
+}
--- /dev/null
+++ b/internal/wal/side_test.go
@@ -0,0 +1,318 @@
+package wal
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// copyFolder gives a second folder with the same files, one of them spoilt.
+func copyFolder(t *testing.T, from string, spoil func(name string, b []byte) []byte) (to string) {
+	t.Helper()
+	to = t.TempDir()
+	err := filepath.Walk(from, func(path string, info os.FileInfo, err error) error {
+		if err != nil {
+			return err
+		}
+		name, err := filepath.Rel(from, path)
+		if err != nil || name == "." {
+			return err
+		}
+		if info.IsDir() {
+			return os.Mkdir(filepath.Join(to, name), 0o700)
+		}
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(filepath.Join(to, name), spoil(name, b), 0o600)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return to
+}
+
+// Guards the logs at the moment they change hands, for a kill at any byte of
+// either: what was taken on is there, once, and booked no further than it was.
+func TestPassedLogCut(t *testing.T) {
+	whole := t.TempDir()
+	l, _ := openTest(t, whole, 1<<20)
+	mustAppend(t, l, taken("a", "A"), taken("b", "B"), &Record{Kind: Attempt, ID: "b", At: 5, To: "s-1", By: l.By})
+	if err := l.c.pass(&Record{Kind: Pass, ID: NoMessage, Body: []byte("memory")}); err != nil {
+		t.Fatal(err)
+	}
+	mustAppend(t, l, taken("c", "C"), &Record{Kind: Outcome, ID: "b"})
+	l.c.shut() // killed
+	sizes := map[string]int{}
+	copyFolder(t, whole, func(name string, b []byte) []byte { sizes[name] = len(b); return b })
+	for name, size := range sizes {
+		if strings.HasSuffix(name, markName) {
+			continue
+		}
+		for cut := range size {
+			dir := copyFolder(t, whole, func(n string, b []byte) []byte {
+				if n == name {
+					return b[:cut]
+				}
+				return b
+			})
+			l, first := openTest(t, dir, 1<<20)
+			l.c.shut()
+			l, second := openTest(t, dir, 1<<20)
+			l.c.shut()
+			if !slices.Equal(describe(first), describe(second)) {
+				t.Fatalf("%s cut at %d: %v, then %v", name, cut, describe(first), describe(second))
+			}
+			if name == SideName && (len(first) < 2 || first[0].ID != "a" || first[1].ID != "b" || first[1].Tries < 1) {
+				t.Fatalf("%s cut at %d: %v", name, cut, describe(first))
+			}
+		}
+	}
+	l, owed := openTest(t, whole, 1<<20)
+	if len(owed) != 3 || owed[1].Doubt != 0 || string(l.Memory) != "memory" {
+		t.Errorf("whole: %v, memory %q", describe(owed), l.Memory)
+	}
+	if _, err := os.Stat(filepath.Join(whole, SideName)); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("the side log of a dead process is still there: %v", err)
+	}
+}
+
+// Guards against booking a record of the side log twice: what the next process
+// has done since must not be undone by reading it again.
+func TestSideLogBookedOnce(t *testing.T) {
+	dir := t.TempDir()
+	old, _ := openTest(t, dir, 1<<20)
+	mustAppend(t, old, taken("a", "A"), &Record{Kind: Attempt, ID: "a", At: 5, To: "s-1", By: old.By})
+	if err := old.c.pass(&Record{Kind: Pass, ID: NoMessage}); err != nil {
+		t.Fatal(err)
+	}
+	mustAppend(t, old, &Record{Kind: Outcome, ID: "a"}, taken("b", "B"))
+	next, owed := openTest(t, dir, 1<<20)
+	if next.Side == nil || len(owed) != 1 || owed[0].OutTo != "s-1" {
+		t.Fatalf("%v, side log %v", describe(owed), next.Side)
+	}
+	mustAppend(t, next, next.Side.Read()[1:]...) // its head is its own
+	mustAppend(t, next, &Record{Kind: Attempt, ID: "a", At: 9, To: "s-1", By: next.By}, &Record{Kind: End, ID: "b"})
+	next.c.shut() // killed, and the old one, too
+	old.c.shut()
+	next.Side.Close()
+	if _, owed := openTest(t, dir, 1<<20); len(owed) != 1 || owed[0].ID != "a" || owed[0].Tries != 2 || owed[0].Doubt != 9 {
+		t.Errorf("%v", describe(owed))
+	}
+}
+
+// Guards the disk while two processes write: both logs and a checkpoint fit.
+func TestSideLogBounded(t *testing.T) {
+	const limit = 1 << 20
+	for _, full := range []bool{false, true} {
+		dir := t.TempDir()
+		old, _ := openTest(t, dir, limit)
+		body := strings.Repeat("b", 8<<10)
+		for i := 0; full || i < 4; i++ {
+			if old.c.append([]*Record{taken(strconv.Itoa(i), body)})[0] != nil {
+				break
+			}
+		}
+		if err := old.c.pass(&Record{Kind: Pass, ID: NoMessage, Body: []byte(strings.Repeat("m", 8<<10))}); err != nil {
+			t.Fatal(err)
+		}
+		next, _ := openTest(t, dir, limit)
+		for i := range 400 {
+			old.c.append([]*Record{taken("o"+strconv.Itoa(i), body)})
+			next.c.append([]*Record{taken("n"+strconv.Itoa(i), body)})
+			if size := diskSize(t, dir); size+next.c.owed > limit {
+				t.Fatalf("full %v: %d on disk, %d for a checkpoint", full, size, next.c.owed)
+			}
+		}
+		for i := range 50 { // how its calls ended still fits
+			mustAppend(t, old, &Record{Kind: End, ID: "o" + strconv.Itoa(i)})
+		}
+		old.c.shut()
+		next.c.shut()
+		next.Side.Close()
+	}
+}
+
+// A damaged stretch in the side log of a dead process holds what is owed to have
+// been sent.
+func TestSideLogDamaged(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openTest(t, dir, 1<<20)
+	mustAppend(t, l, taken("a", "A"), taken("b", "B"))
+	if err := l.c.pass(&Record{Kind: Pass, ID: NoMessage}); err != nil {
+		t.Fatal(err)
+	}
+	mustAppend(t, l, taken("c", "C"), taken("d", "D"))
+	l.c.shut()
+	at := -1
+	spoilt := copyFolder(t, dir, func(name string, b []byte) []byte {
+		if name == SideName {
+			at = strings.Index(string(b), recordMark+"\x00\x00\x00") + 40
+			at = strings.Index(string(b[at:]), recordMark) + at + 6
+			b[at] ^= 1
+		}
+		return b
+	})
+	l, owed := openTest(t, spoilt, 1<<20)
+	for _, r := range owed {
+		if (r.ID == "a" || r.ID == "b") && r.Doubt == 0 { // c was only taken on there
+			t.Errorf("byte %d of the side log: %v", at, describe(owed))
+		}
+	}
+	if l.Found.Sound() {
+		t.Error("nobody was told")
+	}
+}
+
+// oldRecord is a record as an older program writes it.
+func oldRecord(r *Record) []byte {
+	line, _ := json.Marshal(r) // plain data
+	payload := append(append(line, '\n'), r.Body...)
+	b := append([]byte(oldMark), 0, 0, 0, 0, 0, 0, 0, 0)
+	binary.BigEndian.PutUint32(b[4:], uint32(len(payload)))
+	binary.BigEndian.PutUint32(b[8:], crc32.ChecksumIEEE(payload))
+	return append(b, payload...)
+}
+
+func oldLog(recs ...*Record) (b []byte) {
+	for _, r := range recs {
+		b = append(b, oldRecord(r)...)
+	}
+	return b
+}
+
+// The log of an older program is carried over at the first start, its state with
+// it, also where its process lives on and tells more in a side log of its form.
+func TestCarriedOver(t *testing.T) {
+	for _, living := range []bool{false, true} {
+		dir := t.TempDir()
+		b := oldLog(append([]*Record{{Kind: Mark, ID: NoMessage, By: 1}}, script()...)...)
+		b = append(b, oldLog(&Record{Kind: Pass, ID: NoMessage, Body: []byte("memory")})...)
+		if err := os.WriteFile(filepath.Join(dir, Name), b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		side := oldLog(&Record{Kind: Mark, ID: NoMessage, By: 1, Room: 32 << 10}, taken("f", "F"))
+		if err := os.WriteFile(filepath.Join(dir, SideName), side, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := OS{}.Open(filepath.Join(dir, SideName), Write)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if living {
+			if got, err := f.TryLock(); !got {
+				t.Fatal(err)
+			}
+		}
+		l, owed := openTest(t, dir, 1<<20)
+		want := []string{"a A\n\x00 1 0 ", "b  2 200 ", "c C 1 400 ", "e E 0 0 handed-back"}
+		if living { // its calls are left as they are
+			want = []string{"a A\n\x00 1 0 ", "b  2 200 ", "c C 1 0 ", "e E 0 0 handed-back"}
+			if l.Side == nil || l.Side.By != 1 || len(l.Side.Read()) != 2 {
+				t.Fatalf("side log %+v", l.Side)
+			}
+		} else {
+			want = append(want, "f F 0 0 ")
+		}
+		if got := describe(owed); !slices.Equal(got, want) || string(l.Memory) != "memory" || l.By != 2 {
+			t.Fatalf("living %v: got %q, memory %q, by %d", living, got, l.Memory, l.By)
+		}
+		if info, err := os.Stat(filepath.Join(dir, Name)); err != nil || !info.IsDir() {
+			t.Fatalf("an older program would take the log for its own: %v", err)
+		}
+		mustAppend(t, l, &Record{Kind: End, ID: "e"})
+		l.c.shut()
+		f.Close()
+		if l, owed = openTest(t, dir, 1<<20); living && len(owed) != len(want) || !living && len(owed) != len(want)-1 || !l.Found.Sound() {
+			t.Errorf("living %v, opened again: %q, found %+v", living, describe(owed), l.Found)
+		}
+		l.c.shut()
+	}
+}
+
+// Hard case 3: a kill between any two steps of the carrying over loses nothing,
+// though the older program ran in between.
+func TestCarryingOverCut(t *testing.T) {
+	old := oldLog(&Record{Kind: Mark, ID: NoMessage, By: 1}, taken("a", "A"), taken("b", "B"), &Record{Kind: End, ID: "b"})
+	later := oldLog(&Record{Kind: Mark, ID: NoMessage, By: 1}, taken("z", "Z"))
+	for what, files := range map[string]map[string][]byte{
+		"before the first":       {Name: old, Name + newSuffix + "/x": []byte("half")},
+		"between":                {Name + oldSuffix: old, Name + newSuffix + "/x": []byte("half")},
+		"and the older one ran":  {Name + oldSuffix: old, Name: later},
+		"and that was cut again": {Name + oldSuffix: old, Name + olderSuffix: later},
+	} {
+		dir := t.TempDir()
+		for name, b := range files {
+			if err := os.MkdirAll(filepath.Dir(filepath.Join(dir, name)), 0o700); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(filepath.Join(dir, name), b, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		want := []string{"a A 0 0 "}
+		if len(files) == 2 && files[Name+newSuffix+"/x"] == nil {
+			want = append(want, "z Z 0 0 ")
+		}
+		for n := range 2 {
+			l, owed := openTest(t, dir, 1<<20)
+			if got := describe(owed); !slices.Equal(got, want) {
+				t.Fatalf("%s, opened %d times: %q", what, n+1, got)
+			}
+			l.c.shut()
+		}
+		names, err := os.ReadDir(dir)
+		if err != nil || len(names) != 1 {
+			t.Errorf("%s: left %v, %v", what, names, err)
+		}
+	}
+}
+
+// A flipped bit in an older log never hides an attempt either.
+func TestFlippedBitInAnOlderLog(t *testing.T) {
+	sound := oldLog(append([]*Record{{Kind: Mark, ID: NoMessage, By: 1}}, script()...)...)
+	head := len(oldLog(&Record{Kind: Mark, ID: NoMessage, By: 1}))
+	for at := head; at < len(sound); at++ {
+		b := slices.Clone(sound)
+		b[at] ^= 1 << (at % 8)
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, Name), b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		safe(t, dir, fmt.Sprintf("byte %d", at))
+	}
+}
+
+// Hard case 5: one writer at any time. A folder whose owner was stopped is not
+// opened by another, and is once that has died.
+func TestOneOwner(t *testing.T) {
+	dir := t.TempDir()
+	a, err := OpenLock(dir, LockName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := OpenLock(dir, LockName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	if got, err := a.Try(); !got {
+		t.Fatal(err)
+	}
+	if got, _ := b.Try(); got {
+		t.Fatal("two owners")
+	}
+	a.Close()
+	if got, err := b.Try(); !got {
+		t.Errorf("the dead one's lock: %v", err)
+	}
+}
