--- /dev/null
+++ b/cmd/troutusher/disk.go
@@ -0,0 +1,8 @@
+//go:build !cutfs
+
+package main
+
+import "troutusher/internal/relay"
+
+// disk leaves the log on the machine's own file system.
+func disk(*relay.Config) error { return nil }
--- /dev/null
+++ b/cmd/troutusher/disk_cut.go
@@ -0,0 +1,19 @@
+//go:build cutfs
+
+package main
+
+import (
+	"troutusher/internal/relay"
+	"troutusher/internal/wal/cutfs"
+)
+
+// disk has a kill of this process cost its log what a loss of power would. For
+// the lab alone: bin/troutusher-cut is built with the tag cutfs.
+func disk(cfg *relay.Config) error {
+	d, err := cutfs.OnDisk(cfg.State, cfg.Seed)
+	if err != nil {
+		return err
+	}
+	cfg.FS = d
+	return nil
+}
--- a/cmd/troutusher/main.go
+++ b/cmd/troutusher/main.go
@@ -27,6 +27,9 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	cfg, err := relay.LoadConfig(os.Getenv)
+	if err == nil {
+		err = disk(cfg)
+	}
 	if err != nil {
 		log.Error("cannot start", "err", err)
 		os.Exit(exitConfig)
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -116,6 +116,9 @@
 		x.signal(syscall.SIGHUP)
 		return nil
 	}
+	if s.Fault.Kind == "upgrade" {
+		return x.upgrade(ctx)
+	}
 	old, since := filepath.Join(x.dir, "older"), r.rec.Now()
 	if s.Fault.Folder == "older" { // as it was a moment before
 		if err := copyFolder(x.state(), old); err != nil {
@@ -143,7 +146,7 @@
 		if err := errors.Join(os.RemoveAll(x.state()), os.Rename(old, x.state())); err != nil {
 			return fmt.Errorf("folder of %s: %w", x.name, err)
 		}
-	case s.Fault.Kind == "flip" || s.Fault.Kind == "tear":
+	case scenario.Damage[s.Fault.Kind]:
 		var err error
 		if note, err = damage(filepath.Join(x.state(), s.Fault.File), s.Fault.Kind, rand.New(rand.NewPCG(s.Draw, uint64(x.num)))); err != nil {
 			return err
@@ -160,8 +163,30 @@
 	return x.start()
 }
 
-// damage flips one bit of a file or tears off its end, and says what it did.
+// damage flips one bit of a file, tears off its end, puts zeros in its place or
+// takes the file away, and says what it did. In a folder, one of its files is
+// drawn; what has an end is its newest segment.
 func damage(path, how string, r *rand.Rand) (string, error) {
+	if info, err := os.Stat(path); err == nil && info.IsDir() {
+		files, err := filepath.Glob(filepath.Join(path, "*.seg"))
+		if err == nil && (how == "flip" || how == "gone") {
+			var more []string
+			more, err = filepath.Glob(filepath.Join(path, "*.ckp"))
+			files = append(files, more...)
+		}
+		if err != nil || len(files) == 0 {
+			return "", err
+		}
+		if path = files[len(files)-1]; how == "flip" || how == "gone" {
+			path = files[r.IntN(len(files))]
+		}
+	}
+	if how == "gone" {
+		if err := os.Remove(path); err != nil {
+			return "", fmt.Errorf("damage: %w", err)
+		}
+		return "gone: " + filepath.Base(path), nil
+	}
 	f, err := os.OpenFile(path, os.O_RDWR, 0)
 	if errors.Is(err, fs.ErrNotExist) {
 		return "", nil
@@ -184,6 +209,13 @@
 		}
 		return fmt.Sprintf("torn: %s lost its last %d of %d bytes", filepath.Base(path), n, info.Size()), nil
 	}
+	if how == "zero" {
+		n := min(info.Size(), 1+r.Int64N(600))
+		if _, err := f.WriteAt(make([]byte, n), info.Size()-n); err != nil {
+			return "", fmt.Errorf("damage: %w", err)
+		}
+		return fmt.Sprintf("zeros: the last %d of %d bytes of %s", n, info.Size(), filepath.Base(path)), nil
+	}
 	at, bit := r.Int64N(info.Size()), r.IntN(8)
 	var b [1]byte
 	if _, err := f.ReadAt(b[:], at); err != nil {
@@ -204,10 +236,19 @@
 		return fmt.Errorf("copy: %w", err)
 	}
 	files, err := os.ReadDir(from)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil // it was replaced meanwhile
+	}
 	if err != nil {
 		return fmt.Errorf("copy: %w", err)
 	}
 	for _, f := range files {
+		if f.IsDir() {
+			if err := copyFolder(filepath.Join(from, f.Name()), filepath.Join(to, f.Name())); err != nil {
+				return err
+			}
+			continue
+		}
 		in, err := os.Open(filepath.Join(from, f.Name()))
 		if errors.Is(err, fs.ErrNotExist) {
 			continue // the relay replaced it meanwhile
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -131,7 +131,8 @@
 	pid     int
 	start   history.Event
 	ready   history.Event
-	signal  history.Event // the last that ends it
+	signal  history.Event         // the last that ends it
+	signals map[int]history.Event // the same by process: during an upgrade there are two
 	resumed int64
 	spells  []span // when it was not there: nothing is overdue, and peers are owed nothing
 	told    map[string]history.Event
@@ -189,7 +190,7 @@
 func (j *Judge) relay(name string) *process {
 	p := j.relays[name]
 	if p == nil {
-		p = &process{name: name, told: map[string]history.Event{}, raised: map[string]int64{}, waits: map[int]wait{}, failed: map[int]bool{}}
+		p = &process{name: name, told: map[string]history.Event{}, raised: map[string]int64{}, waits: map[int]wait{}, failed: map[int]bool{}, signals: map[int]history.Event{}}
 		j.relays[name] = p
 	}
 	return p
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -34,6 +34,7 @@
 	Seed     uint64
 	Out      string   // the folder of the report; made where it is missing
 	Program  string   // the relay under test
+	First    string   // another that each relay runs first, such as an older one; empty for none
 	Registry string   // the list service's, where the scenario has one
 	Args     []string // of it
 	Env      []string // added to its environment
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -51,7 +52,7 @@
 		"name": r.name, "listen": r.listen, "discovery": r.agent.Addr(), "state": r.state(),
 		"seed":   fmt.Sprintf("%016x", seeded(r.run.seed, "relay "+r.name).Uint64()),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets, "disk_mb": s.Fleet.DiskMB},
-		"known":  known,
+		"known":  known, "promise": s.Fleet.Promise,
 		"settings": model.Settings(model.Fleet{Relays: s.Fleet.Relays, Slots: s.Fleet.Slots, Held: s.Fleet.Held, Zones: s.Fleet.Zones,
 			Zone: r.num % len(s.Fleet.Zones), Rank: r.num, Batch: s.Fleet.Batch}, r.run.world.Rules),
 	}, "", " ")
@@ -77,7 +78,12 @@
 	}
 	o := r.run.opts
 	env := append([]string{"ROUTER_CONFIG=" + filepath.Join(r.dir, "config.json")}, o.Env...)
-	p, err := process.Start(r.name, o.Program, o.Args, env, r.log)
+	program := o.Program
+	if r.mu.Lock(); r.proc == nil && o.First != "" {
+		program = o.First
+	}
+	r.mu.Unlock()
+	p, err := process.Start(r.name, program, o.Args, env, r.log)
 	if err != nil {
 		return err
 	}
@@ -92,6 +98,30 @@
 	return nil
 }
 
+// upgrade starts the next process beside the present one, as the operators do,
+// and ends that once the next one has had time to take over.
+func (r *relay) upgrade(ctx context.Context) error {
+	r.mu.Lock()
+	old := r.proc
+	r.mu.Unlock()
+	if err := r.start(); err != nil {
+		return err
+	}
+	model.Pause(ctx, time.Second)
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		r.run.rec.Put(history.Event{Kind: history.Signal, Relay: r.name, PID: old.PID, Text: s.String()})
+		if old.Signal(s) != nil {
+			return nil
+		}
+		select {
+		case <-old.Done():
+			return nil
+		case <-time.After(r.run.world.Rules.Term + r.run.world.Rules.Slack):
+		}
+	}
+	return nil
+}
+
 // watch records the end of one process.
 func (r *relay) watch(p *process.Proc) {
 	defer r.run.wg.Done()
@@ -100,7 +130,9 @@
 	r.run.rec.Put(history.Event{Kind: history.Exit, Relay: r.name, PID: p.PID, Status: code, Text: text})
 	r.mu.Lock()
 	crashed := r.wanted && r.proc == p
-	r.ready = false
+	if r.proc == p {
+		r.ready = false
+	}
 	r.mu.Unlock()
 	if !crashed {
 		return
