Look at a relay's log, repair it and move it with troutctl wal

Need: operators are to see whether a log is sound and whom damage concerned, and a lost relay's folder is to be moved without two owners of one log.

Change: troutctl wal verify, stats, dump, repair, export and import, with exit codes 0 to 3; read only but for the last three. An export is written and synced, then the folder is fenced, then the file gets its name and the log goes; a relay that finds the fence begins empty and says so, and does not start in the middle of a move. An import uses the file up.

Measured: tests of the exit codes, of a damaged body named and repaired, and of a move that was cut and made again.

--- a/cmd/troutctl/main.go
+++ b/cmd/troutctl/main.go
@@ -1,4 +1,4 @@
-// Command troutctl looks at a fleet's list and changes it.
+// Command troutctl looks at a fleet's list and at relays' logs, and changes them.
 package main
 
 import (
@@ -8,10 +8,11 @@
 	"syscall"
 
 	"troutusher/internal/registry/command"
+	wal "troutusher/internal/wal/command"
 )
 
 func main() {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
-	os.Exit(command.Ctl(ctx, os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(command.Ctl(ctx, os.Args[1:], os.Stdout, os.Stderr, wal.New()))
 }
--- a/internal/registry/command/ctl.go
+++ b/internal/registry/command/ctl.go
@@ -27,15 +27,17 @@
 	wait  time.Duration
 }
 
-// Ctl is troutctl's main.
-func Ctl(ctx context.Context, args []string, out, errOut io.Writer) int {
+// Ctl is troutctl's main. more are commands of other packages; an error of theirs
+// that has an exit code ends the process with it.
+func Ctl(ctx context.Context, args []string, out, errOut io.Writer, more ...*cobra.Command) int {
 	x := &ctl{}
-	root := &cobra.Command{Use: "troutctl", Short: "Look at a fleet's list and change it",
-		Long: "Look at a fleet's list and change it.\n\nExit codes: 0 done; 1 refused; 2 bad usage; 3 no node of the group answered in time."}
+	root := &cobra.Command{Use: "troutctl", Short: "Look at a fleet's list and at relays' logs, and change them",
+		Long: "Look at a fleet's list and at relays' logs, and change them.\n\nExit codes: 0 done; 1 refused; 2 bad usage; 3 no node of the group answered in time."}
 	root.PersistentFlags().StringSliceVar(&x.nodes, "nodes", []string{"127.0.0.1:7800"}, "nodes of the group")
 	root.PersistentFlags().BoolVar(&x.json, "json", false, "JSON in place of a table")
 	root.PersistentFlags().DurationVar(&x.wait, "wait", 10*time.Second, "for an answer")
 	root.AddCommand(x.members(), x.status(), x.snapshot(), x.lapses(), x.zones())
+	root.AddCommand(more...)
 	return run(ctx, root, args, out, errOut)
 }
 
--- a/internal/registry/command/serve.go
+++ b/internal/registry/command/serve.go
@@ -50,7 +50,10 @@
 	}
 	fmt.Fprintf(errOut, "%s: %v\n", root.Name(), err)
 	var usage usageError
+	var coded interface{ ExitCode() int }
 	switch {
+	case errors.As(err, &coded):
+		return coded.ExitCode()
 	case errors.As(err, &usage), strings.HasPrefix(err.Error(), "unknown command"):
 		return Usage
 	case errors.Is(err, registry.ErrDamaged):
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -86,6 +86,11 @@
 // openLog takes up the log: what is owed, what the process before left of its
 // policy's memory, and its calls, if it lives.
 func (r *Relay) openLog() (owed int, err error) {
+	if f, err := wal.PassFence(r.cfg.State); err != nil {
+		return 0, err
+	} else if f != nil {
+		r.log.Warn("what this folder held was moved: beginning empty", "to", f.To, "at", f.At)
+	}
 	w, err := wal.Open(wal.Options{Now: func() int64 { return r.wall(r.now()) }, Dir: r.cfg.State, Limit: int64(r.cfg.Limits.DiskMB) << 20, Promise: r.cfg.Promise, FS: r.cfg.FS, Log: r.log,
 		Failed: func(err error) { r.in.Put(happening{failed: err}) }})
 	if err != nil {
--- /dev/null
+++ b/internal/wal/command/command_test.go
@@ -0,0 +1,155 @@
+package command
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"troutusher/internal/wal"
+)
+
+func runWAL(args ...string) (code int, out string) {
+	c := New()
+	var b bytes.Buffer
+	c.SetOut(&b)
+	c.SetErr(&b)
+	c.SilenceErrors, c.SilenceUsage = true, true
+	c.SetArgs(args)
+	err := c.Execute()
+	var e *Error
+	switch {
+	case errors.As(err, &e):
+		return e.Code, b.String() + err.Error()
+	case err != nil:
+		return Usage, b.String() + err.Error()
+	}
+	return 0, b.String()
+}
+
+func fill(t *testing.T, dir string, ids ...string) {
+	t.Helper()
+	l, err := wal.Open(wal.Options{Dir: dir, Limit: 3 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	go l.Run(stop)
+	for _, id := range ids {
+		l.Submit(&wal.Record{Kind: wal.Taken, ID: id, Class: "once", Deadline: 1e15, Body: []byte("body of " + id)}, nil)
+	}
+	close(stop)
+	<-l.Done()
+}
+
+func owed(t *testing.T, dir string) (ids []string) {
+	t.Helper()
+	l, err := wal.Open(wal.Options{Dir: dir, Limit: 3 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	close(stop)
+	defer l.Run(stop)
+	for _, r := range l.Next(100) {
+		ids = append(ids, r.ID+"="+string(r.Body))
+	}
+	return ids
+}
+
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	fill(t, dir, "one-message", "two-message")
+	if code, out := runWAL("verify", dir); code != Sound || !strings.Contains(out, "owed 2") {
+		t.Errorf("sound: %d, %s", code, out)
+	}
+	if code, out := runWAL("dump", dir, "--id", "two-message"); code != Sound || strings.Count(out, "\n") != 1 || !strings.Contains(out, `"kind":"taken"`) {
+		t.Errorf("dump: %d, %s", code, out)
+	}
+	for _, bad := range [][]string{{"verify"}, {"verify", filepath.Join(dir, "none")}, {"export", dir}} {
+		if code, out := runWAL(bad...); code != Usage {
+			t.Errorf("%v: %d, %s", bad, code, out)
+		}
+	}
+	lock, err := wal.OpenLock(dir, wal.LockName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := lock.Try(); !got {
+		t.Fatal(err)
+	}
+	if code, out := runWAL("verify", dir); code != InUse {
+		t.Errorf("in use: %d, %s", code, out)
+	}
+	if code, out := runWAL("stats", dir); code != Sound {
+		t.Errorf("stats of one in use: %d, %s", code, out)
+	}
+	lock.Close()
+	seg := filepath.Join(dir, wal.Name, "00000001.seg")
+	b, err := os.ReadFile(seg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b[bytes.Index(b, []byte("body of one"))] ^= 1
+	if err := os.WriteFile(seg, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	before, _ := os.ReadDir(filepath.Join(dir, wal.Name))
+	code, out := runWAL("verify", dir)
+	if code != Damaged || !strings.Contains(out, "LOST: one-message") || !strings.Contains(out, "00000001.seg") {
+		t.Errorf("damaged: %d, %s", code, out)
+	}
+	if after, _ := os.ReadDir(filepath.Join(dir, wal.Name)); len(after) != len(before) {
+		t.Error("verify has changed the folder")
+	}
+	if code, out := runWAL("repair", dir); code != Sound {
+		t.Errorf("repair: %d, %s", code, out)
+	}
+	if code, out := runWAL("verify", dir); code != Damaged || !strings.Contains(out, "LOST: one-message") || strings.Contains(out, "DAMAGED") {
+		t.Errorf("the loss is told until its notice is out: %d, %s", code, out)
+	}
+}
+
+// A log that is moved is in one place at any time: its folder's relay begins
+// empty, the file is used up once.
+func TestMove(t *testing.T) {
+	from, to, file := t.TempDir(), t.TempDir(), filepath.Join(t.TempDir(), "moved")
+	fill(t, from, "one", "two")
+	if code, out := runWAL("export", from, file); code != 0 {
+		t.Fatalf("export: %d, %s", code, out)
+	}
+	if _, err := os.Stat(filepath.Join(from, wal.Name)); !os.IsNotExist(err) {
+		t.Error("the log is still there")
+	}
+	if f, err := wal.PassFence(from); f == nil || err != nil {
+		t.Errorf("fence: %v, %v", f, err)
+	}
+	if ids := owed(t, from); len(ids) != 0 {
+		t.Errorf("the first relay still has %v", ids)
+	}
+	fill(t, from, "three")
+	if code, out := runWAL("import", file, from); code == 0 || !strings.Contains(out, "holds a log already") {
+		t.Errorf("into a folder that owes: %d, %s", code, out)
+	}
+	if code, out := runWAL("import", file, to); code != 0 {
+		t.Fatalf("import: %d, %s", code, out)
+	}
+	if ids := owed(t, to); len(ids) != 2 || ids[0] != "one=body of one" {
+		t.Errorf("moved: %v", ids)
+	}
+	if code, out := runWAL("import", file, t.TempDir()); code != Usage {
+		t.Errorf("a second time: %d, %s", code, out)
+	}
+	// Cut between fence and end: nobody serves from it, and it can be made again.
+	if err := os.WriteFile(filepath.Join(to, wal.FenceName), []byte(`{"token":"x"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := wal.PassFence(to); !errors.Is(err, wal.ErrMoving) {
+		t.Errorf("in the middle of a move: %v", err)
+	}
+	if code, out := runWAL("export", to, file); code != 0 {
+		t.Fatalf("export again: %d, %s", code, out)
+	}
+}
--- /dev/null
+++ b/internal/wal/move.go
@@ -0,0 +1,258 @@
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// FenceName is a file that tells a relay that what its folder held is another's.
+const FenceName = "relay.fence"
+
+// Errors of moving a log, and of looking at one.
+var (
+	ErrInUse  = errors.New("log: in use by a running relay")
+	ErrMoving = errors.New("log: is being moved: its export was cut short, and has to be made again")
+	ErrOwing  = errors.New("log: the folder holds a log already")
+)
+
+// Fence is what the file says.
+type Fence struct {
+	Token string    `json:"token"` // of the move; an export carries it in its name alone
+	To    string    `json:"to"`    // where the log went
+	At    time.Time `json:"at"`
+}
+
+// ReadFence gives a folder's fence; nil where it has none.
+func ReadFence(dir string) (*Fence, error) {
+	text, err := os.ReadFile(filepath.Join(dir, FenceName))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("fence: %w", err)
+	}
+	f := &Fence{}
+	if err := json.Unmarshal(text, f); err != nil {
+		return nil, fmt.Errorf("fence: %s: %w", filepath.Join(dir, FenceName), err)
+	}
+	return f, nil
+}
+
+// PassFence lets a relay into a folder that was fenced: it begins empty, and the
+// fence has done its work. The caller holds the lock. A log that is still there
+// is in the middle of its move and is nobody's yet: ErrMoving.
+func PassFence(dir string) (*Fence, error) {
+	f, err := ReadFence(dir)
+	if f == nil || err != nil {
+		return nil, err
+	}
+	if _, err := os.Stat(filepath.Join(dir, Name)); err == nil {
+		return f, fmt.Errorf("%w: %s", ErrMoving, dir)
+	}
+	if err := os.Remove(filepath.Join(dir, FenceName)); err != nil {
+		return f, fmt.Errorf("fence: %w", err)
+	}
+	return f, nil
+}
+
+// Own takes a folder's lock for a tool, without making anything there. ErrInUse
+// where a relay has it, or an old process of one still tells in a side log.
+func Own(dir string) (release func(), err error) {
+	if info, err := os.Stat(dir); err != nil {
+		return nil, fmt.Errorf("log: %w", err)
+	} else if !info.IsDir() {
+		return nil, fmt.Errorf("log: %s: not a folder", dir)
+	}
+	var files []*os.File
+	release = func() {
+		for _, f := range files {
+			f.Close()
+		}
+	}
+	for _, name := range []string{LockName, SideName} {
+		f, err := os.Open(filepath.Join(dir, name))
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		var got bool
+		if err == nil {
+			files = append(files, f)
+			got, err = tryLock(f)
+		}
+		if err == nil && !got {
+			err = ErrInUse
+		}
+		if err != nil {
+			release()
+			return nil, fmt.Errorf("%s: %w", dir, err)
+		}
+	}
+	return release, nil
+}
+
+// Repair opens a folder as a relay would, so that what is damaged is judged and a
+// sound checkpoint holds the rest; damaged files are kept aside within limit
+// bytes. The caller owns the folder.
+func Repair(dir string, limit int64) (*Report, error) {
+	c := newCore(Options{Dir: dir, Limit: limit, Promise: Power})
+	side, err := c.open()
+	if err != nil {
+		return nil, err
+	}
+	defer c.shut()
+	if side != nil {
+		side.Close()
+		return nil, fmt.Errorf("%s: %w", dir, ErrInUse)
+	}
+	c.settle(func(int) bool { return true }, c.seq+1)
+	if err := c.finishCheckpoint(); err != nil {
+		return nil, err
+	}
+	return &c.report, nil
+}
+
+// Export moves a folder's log into one file: what is owed is written there and
+// synced, then the folder is fenced, then the file gets its name and the log goes.
+// Cut anywhere, it can be made again, and at no moment are there two logs that a
+// relay would serve from. The caller owns the folder.
+func Export(dir, to string, limit int64) (*Report, error) {
+	report, err := Repair(dir, limit)
+	if err != nil {
+		return nil, err
+	}
+	ckps, err := filepath.Glob(filepath.Join(dir, Name, "*"+ckpSuffix))
+	if err != nil || len(ckps) != 1 {
+		return nil, fmt.Errorf("export: %d checkpoints in %s: %w", len(ckps), dir, err)
+	}
+	if _, err := os.Stat(to); err == nil {
+		return nil, fmt.Errorf("export: %s: %w", to, os.ErrExist)
+	}
+	if err := copyFile(ckps[0], to+newSuffix); err != nil {
+		return nil, fmt.Errorf("export: %w", err)
+	}
+	var b [8]byte
+	rand.Read(b[:]) // never fails
+	text, err := json.Marshal(Fence{Token: hex.EncodeToString(b[:]), To: to, At: time.Now().UTC()})
+	if err != nil {
+		return nil, fmt.Errorf("export: %w", err)
+	}
+	for _, step := range []func() error{
+		func() error { return writeSynced(filepath.Join(dir, FenceName), text) },
+		func() error { return OS{}.SyncDir(dir) },
+		func() error { return os.Rename(to+newSuffix, to) },
+		func() error { return OS{}.SyncDir(filepath.Dir(to)) },
+		func() error { return os.RemoveAll(filepath.Join(dir, Name)) },
+		func() error { return os.RemoveAll(filepath.Join(dir, SideName)) },
+		func() error { return OS{}.SyncDir(dir) },
+	} {
+		if err := step(); err != nil {
+			return nil, fmt.Errorf("export: %w", err)
+		}
+	}
+	return report, nil
+}
+
+// Import puts an exported log into a folder that holds none, and consumes the
+// file: a second import of it finds nothing. One that was cut short is made again
+// from FILE.importing. The caller owns the folder.
+func Import(from, dir string) (*Report, error) {
+	claimed := from
+	if !strings.HasSuffix(from, importing) {
+		claimed = from + importing
+	}
+	if f, err := ReadFence(dir); err != nil || f != nil {
+		return nil, errors.Join(fmt.Errorf("import: %s is fenced: %w", dir, ErrOwing), err)
+	}
+	if _, err := os.Stat(filepath.Join(dir, Name)); err == nil {
+		report, err := Inspect(nil, dir)
+		if err != nil {
+			return nil, err
+		}
+		if report.Owed > 0 || !report.Sound() {
+			return nil, fmt.Errorf("import: %s: %w", dir, ErrOwing)
+		}
+	}
+	src, err := openSource(OS{}, filepath.Dir(from), filepath.Base(from), Read)
+	if err != nil {
+		return nil, err
+	}
+	src.f.Close()
+	s := newState(OS{})
+	if src.sound == 0 || src.kind != checkpointFile {
+		return nil, fmt.Errorf("import: %s: not an exported log", from)
+	}
+	if src, err = openSource(OS{}, filepath.Dir(from), filepath.Base(from), Read); err != nil {
+		return nil, err
+	}
+	src.salt = saltOf(src.owner)
+	s.addSource(src)
+	whole := s.checkpoint(src)
+	s.summarize()
+	src.f.Close()
+	if !whole {
+		return &s.report, fmt.Errorf("import: %s: damaged", from)
+	}
+	if claimed != from {
+		if err := os.Rename(from, claimed); err != nil {
+			return nil, fmt.Errorf("import: %w", err)
+		}
+	}
+	folder := filepath.Join(dir, Name)
+	h := src.header
+	h.kind = segmentFile
+	for _, step := range []func() error{
+		func() error { return os.RemoveAll(folder + newSuffix) },
+		func() error { return os.Mkdir(folder+newSuffix, 0o700) },
+		func() error { return copyFile(claimed, filepath.Join(folder+newSuffix, ckpName(h.num))) },
+		func() error { return writeSynced(filepath.Join(folder+newSuffix, segmentName(h.num)), h.encode()) },
+		func() error { return OS{}.SyncDir(folder + newSuffix) },
+		func() error { return os.RemoveAll(folder) },
+		func() error { return os.Rename(folder+newSuffix, folder) },
+		func() error { return OS{}.SyncDir(dir) },
+		func() error { return os.Remove(claimed) },
+	} {
+		if err := step(); err != nil {
+			return nil, fmt.Errorf("import: %w", err)
+		}
+	}
+	return &s.report, nil
+}
+
+const importing = ".importing"
+
+func writeSynced(path string, b []byte) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
+func copyFile(from, to string) error {
+	in, err := os.Open(from)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	out, err := os.OpenFile(to, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(out, in)
+	if err == nil {
+		err = out.Sync()
+	}
+	return errors.Join(err, out.Close())
+}
