--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -519,6 +519,32 @@
 	r.Flags().DurationVar(&o.Outage, "outage", 20*time.Second, "without a group, before they come back")
 	r.Flags().DurationVar(&o.Load, "load", 5*time.Second, "of each of three plays of writes")
 	r.Flags().Uint64Var(&o.Seed, "seed", 1, "of the moments of the kills")
-	c.AddCommand(r)
+	c.AddCommand(r, benchWAL())
 	return c
 }
+
+func benchWAL() *cobra.Command {
+	o := lab.WALBenchOptions{}
+	w := &cobra.Command{Use: "wal", Short: "The relay's log: starts, writes, stalls, beside the log before it", Args: exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if o.Out == "" {
+				o.Out = filepath.Join("lab-out", "bench-wal-"+time.Now().Format("20060102T150405"))
+			}
+			o.Say = func(format string, args ...any) { fmt.Fprintf(c.OutOrStdout(), format+"\n", args...) }
+			rows, err := lab.BenchWAL(c.Context(), o)
+			if err != nil {
+				return err
+			}
+			text, err := json.MarshalIndent(rows, "", " ")
+			if err != nil {
+				return fmt.Errorf("bench: %w", err)
+			}
+			return os.WriteFile(filepath.Join(o.Out, "bench.json"), text, 0o644)
+		}}
+	w.Flags().StringVar(&o.Out, "out", "", "folder, on the disk that is measured (default: lab-out/bench-wal-TIME)")
+	w.Flags().IntSliceVar(&o.Owed, "owed", []int{10000, 100000, 1000000}, "messages owed at a start")
+	w.Flags().IntSliceVar(&o.Clients, "clients", []int{1, 16, 256}, "clients at once")
+	w.Flags().IntVar(&o.Plays, "plays", 3, "of each measurement")
+	w.Flags().DurationVar(&o.Span, "span", 3*time.Second, "of each play of writes")
+	return w
+}
--- a/internal/wal/index.go
+++ b/internal/wal/index.go
@@ -40,6 +40,7 @@
 
 const (
 	entryLive  = 1 << iota
+	entryFirst // owed when the log was opened
 	entryRead  // handed out to the relay
 	entryExtra // there is more in extras
 )
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -22,7 +22,6 @@
 	in     *mailbox.Mailbox[op]
 	done   chan struct{}
 	order  []uint32 // entries that were not read yet, what was owed longest first
-	seqs   []uint64 // of each: whether it is still the same
 	read   reader
 	Side   *Side  // of the process before, where that lives
 	By     int    // this process, among those that opened the log
@@ -44,6 +43,7 @@
 	l.order = make([]uint32, 0, c.idx.live)
 	for i := range c.idx.used {
 		if c.idx.at(i).flags&entryLive != 0 {
+			c.idx.at(i).flags |= entryFirst
 			l.order = append(l.order, i)
 		}
 	}
@@ -53,10 +53,6 @@
 		}
 		return int(a) - int(b)
 	})
-	l.seqs = make([]uint64, len(l.order))
-	for n, i := range l.order {
-		l.seqs[n] = c.idx.at(i).seq
-	}
 	return l, nil
 }
 
@@ -71,15 +67,15 @@
 		return nil // they are the next process's
 	}
 	for len(l.order) > 0 && len(recs) < most {
-		i, seq := l.order[0], l.seqs[0]
-		l.order, l.seqs = l.order[1:], l.seqs[1:]
-		if e := l.c.idx.at(i); e.flags&entryLive == 0 || e.flags&entryRead != 0 || e.seq != seq {
-			continue
+		i := l.order[0]
+		l.order = l.order[1:]
+		if l.c.idx.at(i).flags&(entryFirst|entryRead) != entryFirst {
+			continue // over since, or read ahead of its turn
 		}
 		recs = append(recs, l.hand(i))
 	}
 	if len(l.order) == 0 {
-		l.order, l.seqs, l.read = nil, nil, reader{}
+		l.order, l.read = nil, reader{}
 	}
 	return recs
 }
