--- /dev/null
+++ b/cmd/troutwarden/main.go
@@ -0,0 +1,18 @@
+// Command troutwarden holds duties of the fleet: work that one process alone may
+// do at a time.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"troutusher/internal/duty/command"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	os.Exit(command.Warden(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/duty/explore_test.go
@@ -0,0 +1,286 @@
+package duty
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"hash/maphash"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"troutusher/internal/registry"
+)
+
+// The model: two holders, one duty, a store that may change its leader, messages
+// that are delayed or lost, holders that stand still. The store is
+// registry.State and registry.SessionBeats, the holders count by Lease: the
+// transitions are the program's own. All that can happen within the bounds is
+// gone through.
+
+type msg struct {
+	kind  string // renew, grant, effect; renewed, granted, unknown
+	who   int
+	token int64
+	asked int
+}
+
+type modelHolder struct {
+	lease   Lease
+	token   int64
+	asks    int
+	effects int
+	renews  int
+}
+
+type model struct {
+	st       *registry.State
+	beats    registry.SessionBeats
+	now      int
+	changes  int // of leader
+	holders  [2]modelHolder
+	msgs     []msg
+	accepted int64 // the highest token whose effect counted
+	wrong    string
+	path     *step
+}
+
+// step is what led to a state, for who reads of a wrong one.
+type step struct {
+	before *step
+	what   string
+}
+
+func (s *step) String() string {
+	if s == nil {
+		return ""
+	}
+	return s.before.String() + "; " + s.what
+}
+
+const (
+	modelTTL    = 3
+	modelTicks  = 6
+	modelMsgs   = 2
+	modelEffect = 1
+	modelAsks   = 1
+	modelRenews = 1
+)
+
+func tick(n int) time.Duration { return time.Duration(n) * time.Second }
+
+func (m *model) clone(what string) *model {
+	c := *m
+	st := *m.st
+	st.Sessions, st.Duties = maps.Clone(m.st.Sessions), maps.Clone(m.st.Duties)
+	c.st, c.beats, c.msgs = &st, maps.Clone(m.beats), slices.Clone(m.msgs)
+	c.path = &step{m.path, what}
+	return &c
+}
+
+func (m *model) key() string {
+	d := m.st.Duties["d"]
+	b := make([]byte, 0, 128)
+	put := func(v ...int64) {
+		for _, x := range v {
+			b = binary.AppendVarint(b, x)
+		}
+	}
+	put(int64(m.now), int64(m.changes), m.accepted, d.Token, int64(len(d.Holder)))
+	b = append(b, d.Holder...)
+	for i := range m.holders {
+		h, id := &m.holders[i], fmt.Sprint(i)
+		at, heard := m.beats[id]
+		_, open := m.st.Sessions[id]
+		put(int64(h.lease.until), h.token, int64(h.asks), int64(h.effects), int64(h.renews), int64(at))
+		b = append(b, flag(heard), flag(open), flag(h.lease.lost))
+	}
+	all := slices.Clone(m.msgs)
+	slices.SortFunc(all, func(a, b msg) int {
+		return cmp.Or(strings.Compare(a.kind, b.kind), a.who-b.who, int(a.token-b.token), a.asked-b.asked)
+	})
+	for _, x := range all {
+		b = append(b, x.kind[0], x.kind[len(x.kind)-1], byte(x.who))
+		put(x.token, int64(x.asked))
+	}
+	return string(b)
+}
+
+func flag(v bool) byte {
+	if v {
+		return 1
+	}
+	return 0
+}
+
+// next gives all that can happen.
+func (m *model) next(fenced bool) (all []*model) {
+	add := func(what string, f func(c *model), args ...any) {
+		if len(args) > 0 {
+			what = fmt.Sprintf(what, args...)
+		}
+		c := m.clone(what)
+		f(c)
+		c.check()
+		all = append(all, c)
+	}
+	if m.now < modelTicks {
+		add("tick", func(c *model) { // the leader looks at once: later is safer
+			c.now++
+			if ids := c.beats.Overdue(c.st.Sessions, tick(c.now)); len(ids) > 0 {
+				c.st.Apply(registry.Command{Op: registry.OpSessionEnd, Ended: ids, Failed: true})
+			}
+		})
+	}
+	if m.changes < 1 {
+		add("new leader", func(c *model) { c.changes++; c.beats = registry.SessionBeats{} })
+	}
+	for i := range m.holders {
+		h := &m.holders[i]
+		believes := h.lease.Left(tick(m.now)) > 0
+		if len(m.msgs) < modelMsgs {
+			if h.renews < modelRenews && !h.lease.lost {
+				add("%d asks to be renewed", func(c *model) {
+					c.holders[i].renews++
+					c.msgs = append(c.msgs, msg{"renew", i, 0, c.now})
+				}, i)
+			}
+			if believes && h.token == 0 && h.asks < modelAsks {
+				add("%d asks for the duty", func(c *model) {
+					c.holders[i].asks++
+					c.msgs = append(c.msgs, msg{"grant", i, 0, c.now})
+				}, i)
+			}
+			if believes && h.token != 0 && h.effects < modelEffect {
+				add("%d begins an effect", func(c *model) {
+					c.holders[i].effects++
+					c.msgs = append(c.msgs, msg{"effect", i, h.token, c.now})
+				}, i)
+			}
+		}
+	}
+	for k, x := range m.msgs { // one that is lost is one that never comes
+		add("%v comes", func(c *model) { c.msgs = slices.Delete(c.msgs, k, k+1); c.deliver(x, fenced) }, x)
+	}
+	return all
+}
+
+func (m *model) deliver(x msg, fenced bool) {
+	id, h := fmt.Sprint(x.who), &m.holders[x.who]
+	switch x.kind {
+	case "renew":
+		if _, ok := m.st.Sessions[id]; !ok {
+			m.msgs = append(m.msgs, msg{"unknown", x.who, 0, x.asked})
+			return
+		}
+		m.beats.Heard(id, tick(m.now))
+		m.msgs = append(m.msgs, msg{"renewed", x.who, 0, x.asked})
+	case "grant":
+		a := m.st.Apply(registry.Command{Op: registry.OpGrant, Duty: "d", Session: registry.Session{ID: id}})
+		if a.Status == 200 {
+			m.msgs = append(m.msgs, msg{"granted", x.who, a.Token, x.asked})
+		}
+	case "effect":
+		ok := true
+		if fenced {
+			ok = m.st.Apply(registry.Command{Op: registry.OpNote, Duty: "d", Token: x.token, Note: "done"}).Status == 200
+		}
+		if ok && x.token < m.accepted {
+			m.wrong = fmt.Sprintf("an effect of token %d counted after one of token %d", x.token, m.accepted)
+		}
+		if ok {
+			m.accepted = max(m.accepted, x.token)
+		}
+	case "renewed":
+		h.lease.Renewed(tick(x.asked))
+	case "granted":
+		if h.lease.Left(tick(m.now)) > 0 {
+			h.token = x.token
+		}
+	case "unknown":
+		h.lease.Lose()
+	}
+}
+
+// check looks for two holders that both believe in what they hold.
+func (m *model) check() {
+	n := 0
+	for i := range m.holders {
+		h := &m.holders[i]
+		if h.lease.Left(tick(m.now)) <= 0 {
+			h.token = 0 // the watchdog
+		} else if h.token != 0 {
+			n++
+		}
+	}
+	if n > 1 && m.wrong == "" {
+		m.wrong = "two believe that they hold the duty"
+	}
+}
+
+// explore goes through all states and gives the first that is wrong.
+func explore(fenced bool, spoil func(*model)) (states int, wrong *model) {
+	first := &model{st: registry.NewState(), beats: registry.SessionBeats{}}
+	for i := range first.holders {
+		id := fmt.Sprint(i)
+		first.st.Apply(registry.Command{Op: registry.OpSession, Session: registry.Session{ID: id, Warden: id, TTL: tick(modelTTL)}})
+		first.beats.Heard(id, 0)
+		first.holders[i].lease = Lease{TTL: tick(modelTTL)}
+		first.holders[i].lease.Renewed(0)
+	}
+	seed := maphash.MakeSeed()
+	seen := map[uint64]bool{maphash.String(seed, first.key()): true}
+	todo := []*model{first}
+	for len(todo) > 0 {
+		m := todo[len(todo)-1]
+		todo = todo[:len(todo)-1]
+		for _, c := range m.next(fenced) {
+			if spoil != nil {
+				spoil(c)
+			}
+			if c.wrong != "" {
+				return len(seen), c
+			}
+			if k := maphash.String(seed, c.key()); !seen[k] {
+				seen[k] = true
+				todo = append(todo, c)
+			}
+		}
+	}
+	return len(seen), nil
+}
+
+// Nothing that can happen within the bounds makes two effects count out of order,
+// nor two holders believe in one duty.
+func TestExplored(t *testing.T) {
+	states, wrong := explore(true, nil)
+	if wrong != nil {
+		t.Fatalf("%s%v", wrong.wrong, wrong.path)
+	}
+	t.Logf("%d states", states)
+	if states < 10000 {
+		t.Errorf("%d states: the bounds leave out what matters", states)
+	}
+}
+
+// The explorer itself: without the check of the token it finds the double effect,
+// and with a lease counted from its answer it finds two holders.
+func TestExplorerFindsDefects(t *testing.T) {
+	_, wrong := explore(false, nil)
+	if wrong == nil || !strings.Contains(wrong.wrong, "counted after") {
+		t.Fatalf("without fences: %+v", wrong)
+	}
+	t.Log(wrong.wrong, wrong.path)
+	_, wrong = explore(true, func(m *model) { // the defect: a lease that outlives the store's
+		for i := range m.holders {
+			if h := &m.holders[i]; h.lease.until > 0 {
+				h.lease.until = max(h.lease.until, tick(modelTicks))
+			}
+		}
+	})
+	if wrong == nil || !strings.Contains(wrong.wrong, "two believe") {
+		t.Fatalf("with a long lease: %+v", wrong)
+	}
+}
--- /dev/null
+++ b/internal/duty/holder.go
@@ -0,0 +1,514 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"troutusher/internal/registry"
+	"troutusher/internal/registry/client"
+)
+
+// Errors of a grant.
+var (
+	ErrLost    = errors.New("duty: no longer held")         // the lease is over, or the token is not the present one
+	ErrStopped = errors.New("duty: the warden is stopping") // the work is to end and to note where it stands
+	ErrAway    = errors.New("duty: taken away by operators")
+)
+
+const (
+	renewals  = 4                      // in a time to live
+	spreadMax = 20 * time.Millisecond  // of those that ask for one duty at a moment
+	shareWait = 400 * time.Millisecond // before one asks that holds its share already
+	failWait  = time.Second            // before anybody asks for a duty that failed twice; doubled with each further failure
+	failMost  = 5 * time.Minute
+	stopMost  = 5 * time.Second // for work to end once it was asked to
+	pollWait  = 3 * time.Second // less than the client waits for an answer
+)
+
+// Work does a duty until it is over, fails, or ctx ends. The cause of ctx's end
+// is ErrLost, ErrStopped or ErrAway. What it returns without an error is noted
+// as where it stands; an error counts as a failure of the duty.
+type Work func(ctx context.Context, g *Grant) error
+
+// Options of a warden.
+type Options struct {
+	Client  *client.Client
+	Warden  string // its name, for people
+	TTL     time.Duration
+	Duties  map[string]Work
+	Log     *slog.Logger
+	Figures *Figures // nil for none
+}
+
+// Holder is a warden's part in all duties.
+type Holder struct {
+	o     Options
+	began time.Time
+
+	mu      sync.Mutex
+	session string
+	lease   Lease
+	timer   *time.Timer // of the watchdog
+	grants  map[string]*Grant
+	stuck   map[string]bool  // work that did not end with its grant
+	tokens  map[string]int64 // the last that was held, of each duty
+	away    map[string]time.Time
+	view    registry.DutyList
+	seen    map[string]time.Time // since when a duty is seen to be nobody's
+	news    chan struct{}
+	wg      sync.WaitGroup
+}
+
+// Grant is a duty while it is held.
+type Grant struct {
+	Duty   string
+	Token  int64
+	Term   int64
+	Note   string // where the holder before stood
+	Warden string
+
+	h      *Holder
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	next   string
+}
+
+// Run holds duties until ctx ends, then gives them up in order. Errors: a session
+// that the store refuses for good.
+func Run(ctx context.Context, o Options) error {
+	if o.Figures == nil {
+		o.Figures = NewFigures()
+	}
+	h := &Holder{o: o, began: time.Now(), grants: map[string]*Grant{}, stuck: map[string]bool{}, tokens: map[string]int64{}, away: map[string]time.Time{},
+		seen: map[string]time.Time{}, news: make(chan struct{}, 1)}
+	o.Figures.watch(h)
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := h.open(ctx); err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}
+	for _, f := range []func(context.Context){h.renew, h.poll} {
+		h.wg.Add(1)
+		go func() { defer h.wg.Done(); f(run) }()
+	}
+	h.campaign(ctx)
+	h.leave()
+	stop()
+	h.wg.Wait()
+	return nil
+}
+
+func (h *Holder) now() time.Duration { return time.Since(h.began) }
+
+// open begins a session of a new draw.
+func (h *Holder) open(ctx context.Context) error {
+	id, asked := registry.NewID(), h.now()
+	_, err := h.o.Client.Do(ctx, http.MethodPost, registry.SessionsPath, registry.SessionRequest{ID: id, Warden: h.o.Warden, TTLMS: h.o.TTL.Milliseconds()}, nil)
+	if err != nil {
+		return fmt.Errorf("duty: session: %w", err)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.session, h.lease = id, Lease{TTL: h.o.TTL}
+	h.lease.Renewed(asked)
+	h.watchdog()
+	h.o.Log.Info("session open", "session", id, "warden", h.o.Warden)
+	return nil
+}
+
+// watchdog ends all grants at the moment at which the lease is no longer believed
+// in, whatever their work does. h.mu is held.
+func (h *Holder) watchdog() {
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+	h.timer = time.AfterFunc(h.lease.Left(h.now()), func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.lease.Left(h.now()) > 0 {
+			return // renewed meanwhile
+		}
+		for _, g := range h.grants {
+			h.o.Log.Warn("lease over: work is ended", "duty", g.Duty, "token", g.Token)
+			g.cancel(ErrLost)
+		}
+	})
+}
+
+// renew keeps the session; a lost one is followed by a new one.
+func (h *Holder) renew(ctx context.Context) {
+	every := h.o.TTL / renewals
+	for sleep(ctx, every) {
+		h.mu.Lock()
+		id := h.session
+		h.mu.Unlock()
+		asked := h.now()
+		short, cancel := context.WithTimeout(ctx, every*2)
+		_, err := h.o.Client.Do(short, http.MethodPost, registry.SessionsPath+"/"+url.PathEscape(id)+"/renew", struct{}{}, nil)
+		cancel()
+		var no *client.Refused
+		switch {
+		case err == nil:
+			h.mu.Lock()
+			h.lease.Renewed(asked)
+			h.watchdog()
+			h.mu.Unlock()
+		case errors.As(err, &no) && no.Status == http.StatusNotFound:
+			h.o.Log.Warn("session is gone", "session", id)
+			h.mu.Lock()
+			h.lease.Lose()
+			for _, g := range h.grants {
+				g.cancel(ErrLost)
+			}
+			h.mu.Unlock()
+			for h.open(ctx) != nil {
+				if !sleep(ctx, every) {
+					return
+				}
+			}
+			h.stir()
+		case ctx.Err() == nil:
+			h.o.Log.Warn("session not renewed", "session", id, "err", err)
+		}
+	}
+}
+
+// poll follows the duties.
+func (h *Holder) poll(ctx context.Context) {
+	after := int64(0)
+	for ctx.Err() == nil {
+		var l registry.DutyList
+		short, cancel := context.WithTimeout(ctx, pollWait+2*time.Second)
+		_, err := h.o.Client.Do(short, http.MethodGet, fmt.Sprintf("%s?after=%d&wait_ms=%d", registry.DutiesPath, after, pollWait.Milliseconds()), nil, &l)
+		cancel()
+		if err != nil {
+			sleep(ctx, 50*time.Millisecond)
+			continue
+		}
+		after = l.Revision
+		h.see(l)
+	}
+}
+
+// see books how the duties stand, and ends work whose grant is another's.
+func (h *Holder) see(l registry.DutyList) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l.Revision < h.view.Revision {
+		return // a node that is behind
+	}
+	h.view = l
+	now := time.Now()
+	for _, d := range l.Duties {
+		if g := h.grants[d.Name]; g != nil && (d.Token > g.Token || d.Token == g.Token && d.Holder != h.session) {
+			if d.Off {
+				g.cancel(ErrAway)
+			} else {
+				g.cancel(ErrLost)
+			}
+		}
+		if d.Holder != "" {
+			delete(h.seen, d.Name)
+		} else if h.seen[d.Name].IsZero() {
+			h.seen[d.Name] = now
+		}
+	}
+	h.stir()
+}
+
+func (h *Holder) stir() {
+	select {
+	case h.news <- struct{}{}:
+	default:
+	}
+}
+
+// campaign asks for duties that nobody holds.
+func (h *Holder) campaign(ctx context.Context) {
+	sleep(ctx, time.Duration(rand.Int64N(int64(spreadMax))))
+	for ctx.Err() == nil {
+		wait := time.Second
+		for _, name := range h.wanted(&wait) {
+			if ctx.Err() == nil {
+				h.ask(ctx, name)
+			}
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-h.news:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// wanted gives the duties to ask for now; wait falls to when the next is.
+func (h *Holder) wanted(wait *time.Duration) (names []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lease.Left(h.now()) <= 0 || h.view.Revision == 0 {
+		return nil
+	}
+	state := map[string]registry.Duty{}
+	for _, d := range h.view.Duties {
+		state[d.Name] = d
+	}
+	named := map[string]bool{}
+	for _, s := range h.view.Sessions {
+		named[s.Warden] = true
+	}
+	share := (len(h.o.Duties) + max(1, len(named)) - 1) / max(1, len(named))
+	now := time.Now()
+	for name := range h.o.Duties {
+		d, known := state[name]
+		if d.Holder != "" && d.Holder == h.session && h.grants[name] == nil && !h.stuck[name] && d.Token > h.tokens[name] {
+			h.begin(name, d.Token) // the answer to its grant was lost; the token proves it
+			continue
+		}
+		if d.Holder != "" || d.Off || h.grants[name] != nil || h.stuck[name] || d.Next != "" && d.Next != h.o.Warden && named[d.Next] {
+			continue
+		}
+		at := now
+		if known && !h.seen[name].IsZero() {
+			at = h.seen[name]
+		} else {
+			h.seen[name] = now
+		}
+		if len(h.grants)+len(names) >= share && d.Next != h.o.Warden {
+			at = at.Add(shareWait)
+		}
+		if d.Fails > 1 {
+			back := min(failWait<<min(d.Fails-2, 20), failMost)
+			if d.Warden == h.o.Warden {
+				back *= 2 // another may do better
+			}
+			at = at.Add(back)
+		}
+		if until := h.away[name]; until.After(at) {
+			at = until
+		}
+		if left := at.Sub(now); left > 0 {
+			*wait = min(*wait, left)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+// ask asks for one duty, and has its work begun.
+func (h *Holder) ask(ctx context.Context, name string) {
+	h.mu.Lock()
+	session := h.session
+	h.mu.Unlock()
+	var a registry.Answer
+	short, cancel := context.WithTimeout(ctx, h.o.TTL)
+	defer cancel()
+	_, err := h.o.Client.Do(short, http.MethodPost, registry.DutiesPath+"/"+url.PathEscape(name)+"/grant", registry.DutyRequest{Session: session}, &a)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		// Where the answer alone is lost, the grant stands: the poll shows it.
+		h.away[name] = time.Now().Add(time.Duration(50+rand.Int64N(100)) * time.Millisecond)
+		return
+	}
+	if session != h.session || h.lease.Left(h.now()) <= 0 {
+		return // the session that it hangs on is over
+	}
+	if h.grants[name] == nil && a.Token > h.tokens[name] {
+		h.begin(name, a.Token)
+	}
+}
+
+// begin has the work of a granted duty begun. h.mu is held.
+func (h *Holder) begin(name string, token int64) {
+	g := &Grant{Duty: name, Token: token, h: h, Warden: h.o.Warden}
+	for _, d := range h.view.Duties {
+		if d.Name == name {
+			g.Note, g.Term = d.Note, d.Term+1
+		}
+	}
+	g.ctx, g.cancel = context.WithCancelCause(context.Background())
+	h.grants[name], h.tokens[name] = g, token
+	delete(h.seen, name)
+	h.o.Figures.granted(g)
+	h.o.Log.Info("duty held", "duty", name, "token", g.Token)
+	h.wg.Add(1)
+	go func() { defer h.wg.Done(); h.work(g) }()
+}
+
+// work does a duty and gives it up.
+func (h *Holder) work(g *Grant) {
+	good := time.AfterFunc(h.o.TTL, func() { // it has not killed its holder
+		if g.ctx.Err() == nil {
+			g.mark(g.ctx)
+		}
+	})
+	defer good.Stop()
+	done := make(chan error, 1)
+	go func() { // not waited for in the end: work that is deaf must not keep its warden
+		err := guard(g.ctx, h.o.Duties[g.Duty], g)
+		h.mu.Lock()
+		delete(h.stuck, g.Duty)
+		h.mu.Unlock()
+		done <- err
+		h.stir()
+	}()
+	var err error
+	select {
+	case err = <-done:
+	case <-g.ctx.Done():
+		t := time.NewTimer(stopMost)
+		defer t.Stop()
+		select {
+		case err = <-done:
+		case <-t.C:
+			h.o.Log.Error("work does not end, though it was asked to; its effects are refused", "duty", g.Duty, "token", g.Token)
+			h.mu.Lock()
+			h.stuck[g.Duty] = true
+			h.mu.Unlock()
+		}
+	}
+	cause := context.Cause(g.ctx)
+	g.cancel(ErrStopped)
+	h.mu.Lock()
+	delete(h.grants, g.Duty)
+	next := g.next
+	h.mu.Unlock()
+	h.o.Figures.gone(g)
+	failed := err != nil && cause == nil
+	if failed {
+		h.o.Log.Error("duty failed", "duty", g.Duty, "token", g.Token, "err", err)
+	}
+	if errors.Is(cause, ErrLost) || errors.Is(cause, ErrAway) {
+		h.o.Log.Warn("duty lost", "duty", g.Duty, "token", g.Token, "cause", cause)
+		h.stir()
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), h.o.TTL)
+	defer cancel()
+	if rerr := g.post(ctx, "release", registry.DutyRequest{Token: g.Token, Next: next, Failed: failed}); rerr != nil {
+		h.o.Log.Warn("duty not given up", "duty", g.Duty, "err", rerr)
+		return
+	}
+	h.o.Log.Info("duty given up", "duty", g.Duty, "token", g.Token, "next", next)
+	if err == nil && cause == nil { // its work is over: asked for again when there is news
+		h.mu.Lock()
+		h.away[g.Duty] = time.Now().Add(h.o.TTL)
+		h.mu.Unlock()
+	}
+}
+
+// guard keeps a panic of one duty's work from ending the others'.
+func guard(ctx context.Context, w Work, g *Grant) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("duty: panic: %v", p)
+		}
+	}()
+	return w(ctx, g)
+}
+
+// leave gives up all that is held, in order, and ends the session.
+func (h *Holder) leave() {
+	h.mu.Lock()
+	for _, g := range h.grants {
+		g.cancel(ErrStopped)
+	}
+	h.mu.Unlock()
+	end := time.Now().Add(stopMost + h.o.TTL)
+	for ; time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		h.mu.Lock()
+		n := len(h.grants)
+		h.mu.Unlock()
+		if n == 0 {
+			break
+		}
+	}
+	h.mu.Lock()
+	id := h.session
+	h.timer.Stop()
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), h.o.TTL)
+	defer cancel()
+	if _, err := h.o.Client.Do(ctx, http.MethodDelete, registry.SessionsPath+"/"+url.PathEscape(id), nil, nil); err != nil {
+		h.o.Log.Warn("session not ended", "err", err)
+	}
+}
+
+// Context ends when the duty is no longer held, or the work is to stop.
+func (g *Grant) Context() context.Context { return g.ctx }
+
+// Leave names who is to have the duty next.
+func (g *Grant) Leave(warden string) {
+	g.h.mu.Lock()
+	defer g.h.mu.Unlock()
+	g.next = warden
+}
+
+// Save notes where the work stands, as an effect of the duty. ErrLost where the
+// token is not the present one.
+func (g *Grant) Save(ctx context.Context, note string) error {
+	if err := g.post(ctx, "note", registry.DutyRequest{Token: g.Token, Note: note}); err != nil {
+		return err
+	}
+	g.h.mu.Lock()
+	defer g.h.mu.Unlock()
+	g.Note = note
+	return nil
+}
+
+// mark tells that the work goes well.
+func (g *Grant) mark(ctx context.Context) {
+	g.h.mu.Lock()
+	note := g.Note
+	g.h.mu.Unlock()
+	if err := g.post(ctx, "note", registry.DutyRequest{Token: g.Token, Note: note, Good: true}); err != nil && ctx.Err() == nil {
+		g.h.o.Log.Warn("duty not marked", "duty", g.Duty, "err", err)
+	}
+}
+
+func (g *Grant) post(ctx context.Context, what string, body registry.DutyRequest) error {
+	_, err := g.h.o.Client.Do(ctx, http.MethodPost, registry.DutiesPath+"/"+url.PathEscape(g.Duty)+"/"+what, body, nil)
+	return g.judge(err)
+}
+
+// judge ends the work where an effect of it was refused for its token.
+func (g *Grant) judge(err error) error {
+	var no *client.Refused
+	if errors.As(err, &no) && no.Status == http.StatusPreconditionFailed {
+		g.h.o.Figures.refused(g)
+		g.cancel(ErrLost)
+		return fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	return err
+}
+
+// Do makes a write of the list service an effect of the duty. Errors: ErrLost,
+// and those of the client.
+func (g *Grant) Do(ctx context.Context, method, path string, body, out any) error {
+	_, err := g.h.o.Client.DoWith(ctx, method, path, http.Header{registry.FenceHeader: {fmt.Sprintf("%s=%d", g.Duty, g.Token)}}, body, out)
+	return g.judge(err)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -87,6 +87,7 @@
 type problem struct {
 	Error   string `json:"error"`
 	Changed int64  `json:"changed,omitempty"` // 409: the member's last change, as it holds
+	Token   int64  `json:"token,omitempty"`   // 412: the duty's present one
 }
 
 func (n *Node) routes() http.Handler {
@@ -101,6 +102,7 @@
 	mux.HandleFunc("POST "+ConfirmPath, n.leaderOnly(n.postConfirm))
 	mux.HandleFunc("GET "+ZonesPath, n.getZones)
 	mux.HandleFunc("POST "+ZonesPath, n.leaderOnly(n.postZone))
+	n.dutyRoutes(mux)
 	mux.HandleFunc("GET "+StatusPath, n.getStatus)
 	mux.HandleFunc("GET "+SnapshotPath, n.leaderOnly(n.getSnapshot))
 	mux.HandleFunc("PUT "+SnapshotPath, n.leaderOnly(n.putSnapshot))
@@ -174,13 +176,17 @@
 		refuse(w, http.StatusBadRequest, "%s: over %d bytes", RequestHeader, idMost)
 		return Answer{}, false
 	}
+	if err := fence(r, &c); err != nil {
+		refuse(w, http.StatusBadRequest, "%v", err)
+		return Answer{}, false
+	}
 	a, err := n.apply(c)
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, "%v", err)
 		return a, false
 	}
 	if a.Status != http.StatusOK {
-		say(w, a.Status, problem{a.Error, a.Changed})
+		say(w, a.Status, problem{a.Error, a.Changed, a.Token})
 		return a, false
 	}
 	w.Header().Set(RevisionHeader, strconv.FormatInt(a.Revision, 10))
@@ -389,6 +395,8 @@
 	}
 	_, _, revision := n.store.members()
 	state.Revision = max(state.Revision, revision)
+	tokens, dutyRev := n.store.tokens() // nor do these go back
+	state.Tokens, state.DutyRev = max(state.Tokens, tokens), max(state.DutyRev, dutyRev)
 	text, err := json.Marshal(state)
 	if err != nil {
 		refuse(w, http.StatusInternalServerError, "%v", err)
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -114,6 +114,11 @@
 // Do asks until it is answered or ctx ends. A write carries one request id over
 // all of its tries, so the group takes it once. out may be nil.
 func (c *Client) Do(ctx context.Context, method, path string, body, out any) (http.Header, error) {
+	return c.DoWith(ctx, method, path, nil, body, out)
+}
+
+// DoWith is Do with headers, such as a duty's fence.
+func (c *Client) DoWith(ctx context.Context, method, path string, head http.Header, body, out any) (http.Header, error) {
 	var text []byte
 	if b, ok := body.([]byte); ok {
 		text = b
@@ -127,7 +132,7 @@
 	var last error
 	for n := 0; ; n++ {
 		node := c.node()
-		h, err := c.once(ctx, method, "http://"+node+path, request, text, out)
+		h, err := c.once(ctx, method, "http://"+node+path, request, head, text, out)
 		var refused *Refused
 		if err == nil || errors.As(err, &refused) {
 			return h, err
@@ -145,11 +150,14 @@
 	}
 }
 
-func (c *Client) once(ctx context.Context, method, to, request string, body []byte, out any) (http.Header, error) {
+func (c *Client) once(ctx context.Context, method, to, request string, head http.Header, body []byte, out any) (http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, method, to, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("registry: %w", err)
 	}
+	for name, values := range head {
+		req.Header[name] = values
+	}
 	req.Header.Set(registry.RequestHeader, request)
 	resp, err := c.http.Do(req)
 	if err != nil {
--- a/internal/registry/command/ctl.go
+++ b/internal/registry/command/ctl.go
@@ -36,7 +36,7 @@
 	root.PersistentFlags().StringSliceVar(&x.nodes, "nodes", []string{"127.0.0.1:7800"}, "nodes of the group")
 	root.PersistentFlags().BoolVar(&x.json, "json", false, "JSON in place of a table")
 	root.PersistentFlags().DurationVar(&x.wait, "wait", 10*time.Second, "for an answer")
-	root.AddCommand(x.members(), x.status(), x.snapshot(), x.lapses(), x.zones())
+	root.AddCommand(x.members(), x.status(), x.snapshot(), x.lapses(), x.zones(), x.duties())
 	root.AddCommand(more...)
 	return run(ctx, root, args, out, errOut)
 }
@@ -178,6 +178,64 @@
 	return c
 }
 
+func (x *ctl) duties() *cobra.Command {
+	c := &cobra.Command{Use: "duties", Short: "Work that one warden does at a time"}
+	get := func(c *cobra.Command) (l registry.DutyList, err error) {
+		_, err = x.ask(c, http.MethodGet, registry.DutiesPath, nil, &l)
+		return l, err
+	}
+	list := &cobra.Command{Use: "list", Short: "List them, and the wardens", Args: exactly(0), RunE: func(c *cobra.Command, _ []string) error {
+		l, err := get(c)
+		if err != nil {
+			return err
+		}
+		return x.show(c, l, func(w io.Writer) {
+			fmt.Fprintln(w, "DUTY\tHOLDER\tTOKEN\tTERM\tFAILS\tHELD BACK\tSINCE")
+			for _, d := range l.Duties {
+				holder := d.Warden
+				if d.Holder == "" {
+					holder = "-"
+				}
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%v\t%s\n", d.Name, holder, d.Token, d.Term, d.Fails, d.Off, time.UnixMilli(max(d.Since, d.Left)).UTC().Format(time.RFC3339))
+			}
+			for _, s := range l.Sessions {
+				fmt.Fprintf(w, "warden %s: session %s, time to live %v\n", s.Warden, s.ID, s.TTL)
+			}
+		})
+	}}
+	show := &cobra.Command{Use: "show DUTY", Short: "All of one, with where its work stands", Args: exactly(1), RunE: func(c *cobra.Command, args []string) error {
+		l, err := get(c)
+		if err != nil {
+			return err
+		}
+		for _, d := range l.Duties {
+			if d.Name == args[0] {
+				return x.show(c, d, func(w io.Writer) {
+					fmt.Fprintf(w, "duty\t%s\nholder\t%s\t%s\ntoken\t%d\nterm\t%d\nfails\t%d\nheld back\t%v\nnext\t%s\nnote\t%s\n", d.Name, d.Warden, d.Holder, d.Token, d.Term, d.Fails, d.Off, d.Next, d.Note)
+				})
+			}
+		}
+		return fmt.Errorf("duty %s is unknown", args[0])
+	}}
+	hold := func(use, short string, steps ...bool) *cobra.Command {
+		return &cobra.Command{Use: use + " DUTY", Short: short, Args: exactly(1), RunE: func(c *cobra.Command, args []string) error {
+			for i, off := range steps {
+				var a registry.Answer
+				if _, err := x.ask(c, http.MethodPost, registry.DutiesPath+"/"+url.PathEscape(args[0])+"/hold", registry.DutyRequest{Off: off}, &a); err != nil {
+					return err
+				}
+				if i == len(steps)-1 {
+					return x.show(c, a, func(w io.Writer) { fmt.Fprintln(w, "done") })
+				}
+			}
+			return nil
+		}}
+	}
+	c.AddCommand(list, show, hold("release", "Take it from its holder; any warden may have it next", true, false),
+		hold("hold", "Take it from its holder; nobody may have it", true), hold("unhold", "Let wardens have it again", false))
+	return c
+}
+
 func (x *ctl) zones() *cobra.Command {
 	c := &cobra.Command{Use: "zones", Short: "The zones that endpoints stand in, and their regions"}
 	list := &cobra.Command{Use: "list", Short: "List them", Args: exactly(0), RunE: func(c *cobra.Command, _ []string) error {
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -75,12 +75,13 @@
 	Share float64 `toml:"share"`
 	Least int     `toml:"least"`
 	Hold  Span    `toml:"hold"`
+	By    string  `toml:"by"` // leader, or duty: the duty list-keeper
 }
 
 // DefaultConfig is one node that needs nothing but a folder.
 func DefaultConfig() Config {
 	return Config{ID: "r1", Data: "registry-data", Listen: "127.0.0.1:7800", Raft: "127.0.0.1:7801", LogForm: "text",
-		Lapse: Lapse{Share: 0.25, Least: 3, Hold: Span(10 * time.Minute)}, Watchers: 20000}
+		Lapse: Lapse{Share: 0.25, Least: 3, Hold: Span(10 * time.Minute), By: "leader"}, Watchers: 20000}
 }
 
 // LoadConfig reads a file, or the defaults where path is empty. The environment
@@ -151,6 +152,9 @@
 	if !(c.Lapse.Share > 0 && c.Lapse.Share <= 1) {
 		return fmt.Errorf("lapse.share: %v; more than 0, 1 at most", c.Lapse.Share)
 	}
+	if c.Lapse.By != "leader" && c.Lapse.By != "duty" {
+		return fmt.Errorf("lapse.by: %q; leader and duty are allowed", c.Lapse.By)
+	}
 	if c.Lapse.Least < 0 || c.Watchers < 1 {
 		return errors.New("lapse.least, watchers: 0 and 1 at least")
 	}
--- /dev/null
+++ b/internal/registry/duties_api.go
@@ -0,0 +1,172 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Paths of sessions and duties.
+const (
+	SessionsPath = "/v1/sessions"
+	DutiesPath   = "/v1/duties"
+	LapsePath    = "/v1/lapse" // the effect of list-keeper
+)
+
+// FenceHeader goes with a write that is a duty's effect: its name, an equals sign
+// and its token. A write whose token is not the present one is refused with 412.
+const FenceHeader = "Duty-Fence"
+
+const (
+	sessionLeast = 300 * time.Millisecond // a shorter time to live would end with every election
+	sessionMost  = 5 * time.Minute
+	dutyWaitMost = 20 * time.Second
+)
+
+// SessionRequest opens a session.
+type SessionRequest struct {
+	ID     string `json:"id"`
+	Warden string `json:"warden"`
+	TTLMS  int64  `json:"ttl_ms"`
+}
+
+// DutyRequest is the body of a grant, a note, a release or a hold.
+type DutyRequest struct {
+	Session string `json:"session,omitempty"` // grant
+	Token   int64  `json:"token,omitempty"`   // note, release
+	Note    string `json:"note,omitempty"`
+	Next    string `json:"next,omitempty"`
+	Good    bool   `json:"good,omitempty"`
+	Failed  bool   `json:"failed,omitempty"`
+	Off     bool   `json:"off,omitempty"` // hold
+}
+
+func (n *Node) dutyRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+SessionsPath, n.leaderOnly(n.postSession))
+	mux.HandleFunc("POST "+SessionsPath+"/{id}/renew", n.leaderOnly(n.postRenew))
+	mux.HandleFunc("DELETE "+SessionsPath+"/{id}", n.leaderOnly(n.deleteSession))
+	mux.HandleFunc("GET "+DutiesPath, n.getDuties)
+	mux.HandleFunc("POST "+LapsePath, n.leaderOnly(n.postLapse))
+	for op, path := range map[Op]string{OpGrant: "grant", OpNote: "note", OpRelease: "release", OpHold: "hold"} {
+		mux.HandleFunc("POST "+DutiesPath+"/{name}/"+path, n.leaderOnly(func(w http.ResponseWriter, r *http.Request) { n.postDuty(w, r, op) }))
+	}
+}
+
+func (n *Node) postSession(w http.ResponseWriter, r *http.Request) {
+	var x SessionRequest
+	if !read(w, r, &x) {
+		return
+	}
+	ttl := time.Duration(x.TTLMS) * time.Millisecond
+	switch {
+	case x.ID == "" || len(x.ID) > idMost || x.Warden == "" || len(x.Warden) > idMost:
+		refuse(w, http.StatusBadRequest, "id, warden: 1 to %d bytes are wanted", idMost)
+		return
+	case ttl < sessionLeast || ttl > sessionMost:
+		refuse(w, http.StatusBadRequest, "ttl_ms: %d; from %d to %d", x.TTLMS, sessionLeast.Milliseconds(), sessionMost.Milliseconds())
+		return
+	}
+	n.hearts.session(x.ID)
+	n.settle(w, r, Command{Op: OpSession, Session: Session{x.ID, x.Warden, ttl}})
+}
+
+// postRenew keeps a session. Only a leader that a majority still follows may say
+// so: one that was deposed and does not know yet would keep a session that the
+// next one ends.
+func (n *Node) postRenew(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if n.store.hasSession(id) && n.hearts.session(id) {
+		if err := n.raft.VerifyLeader().Error(); err != nil {
+			refuse(w, http.StatusServiceUnavailable, "%v", err)
+			return
+		}
+	}
+	if !n.store.hasSession(id) {
+		refuse(w, http.StatusNotFound, "session %s is unknown", id)
+		return
+	}
+	say(w, http.StatusOK, Answer{Status: http.StatusOK})
+}
+
+func (n *Node) deleteSession(w http.ResponseWriter, r *http.Request) {
+	n.settle(w, r, Command{Op: OpSessionEnd, Ended: []string{r.PathValue("id")}})
+}
+
+// getDuties gives all duties; with after, once they are of another revision, or
+// wait_ms is over.
+func (n *Node) getDuties(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt("0"+r.URL.Query().Get("after"), 10, 64)
+	ms, werr := strconv.ParseInt("0"+r.URL.Query().Get("wait_ms"), 10, 64)
+	if err = errors.Join(err, werr); err != nil {
+		refuse(w, http.StatusBadRequest, "after, wait_ms: %v", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(ms)*time.Millisecond, dutyWaitMost))
+	defer cancel()
+	for {
+		l, changed := n.store.duties()
+		if l.Revision != after || ctx.Err() != nil || n.ctx.Err() != nil {
+			_, epoch, revision := n.store.members()
+			n.mark(w, epoch, revision)
+			say(w, http.StatusOK, l)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		case <-n.ctx.Done():
+		}
+	}
+}
+
+func (n *Node) postDuty(w http.ResponseWriter, r *http.Request, op Op) {
+	var x DutyRequest
+	if !read(w, r, &x) {
+		return
+	}
+	name := r.PathValue("name")
+	if len(name) > idMost || len(x.Note) > noteMost || len(x.Next) > idMost {
+		refuse(w, http.StatusBadRequest, "name, next: %d bytes at most; note: %d", idMost, noteMost)
+		return
+	}
+	n.settle(w, r, Command{Op: op, Duty: name, Session: Session{ID: x.Session}, Token: x.Token, Note: x.Note, Next: x.Next, Good: x.Good, Failed: x.Failed, Off: x.Off})
+}
+
+// postLapse ends the registrations that are due, as an effect of a duty.
+func (n *Node) postLapse(w http.ResponseWriter, r *http.Request) {
+	var c Command
+	if err := fence(r, &c); err != nil || c.Duty == "" {
+		refuse(w, http.StatusBadRequest, "%s: NAME=TOKEN is wanted", FenceHeader)
+		return
+	}
+	count, a, err := n.hearts.look(time.Now(), c)
+	switch {
+	case err != nil:
+		refuse(w, http.StatusServiceUnavailable, "%v", err)
+	case a.Status != http.StatusOK:
+		say(w, a.Status, problem{a.Error, a.Changed, a.Token})
+	default:
+		say(w, http.StatusOK, map[string]int{"lapsed": count})
+	}
+}
+
+// fence reads the header of a duty's effect into a command.
+func fence(r *http.Request, c *Command) error {
+	text := r.Header.Get(FenceHeader)
+	if text == "" || c.Duty != "" {
+		return nil
+	}
+	name, token, ok := strings.Cut(text, "=")
+	var err error
+	if c.Duty = name; ok {
+		c.Token, err = strconv.ParseInt(token, 10, 64)
+	}
+	if !ok || err != nil || name == "" {
+		return fmt.Errorf("%s: %q; NAME=TOKEN is wanted", FenceHeader, text)
+	}
+	return nil
+}
--- a/internal/registry/lapse.go
+++ b/internal/registry/lapse.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -9,8 +11,9 @@
 // alone hears and decides. What looks like a fault of the network, since many
 // fall silent within one time to live, is held back.
 const (
-	lapseEvery = 200 * time.Millisecond
-	silentPart = 0.6 // of a time to live, after which a registration counts as silent: two of three heartbeats are missing
+	lapseEvery   = 200 * time.Millisecond
+	sessionEvery = 50 * time.Millisecond // a duty waits for its next holder meanwhile
+	silentPart   = 0.6                   // of a time to live, after which a registration counts as silent: two of three heartbeats are missing
 )
 
 // hearts is what a leader has heard of registrations.
@@ -19,13 +22,17 @@
 
 	mu        sync.Mutex
 	heard     map[string]time.Time
+	sessions  SessionBeats
+	ending    []string    // of them, not committed yet
 	lapsed    []time.Time // of the last largest time to live
 	heldSince time.Time   // zero for not held
 	held      int
 	confirmed bool
 }
 
-func newHearts(n *Node) *hearts { return &hearts{node: n, heard: map[string]time.Time{}} }
+func newHearts(n *Node) *hearts {
+	return &hearts{node: n, heard: map[string]time.Time{}, sessions: SessionBeats{}}
+}
 
 // reset forgets everything: a new leader gives each registration a whole time
 // to live from its own beginning.
@@ -33,6 +40,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	clear(h.heard)
+	clear(h.sessions)
 	h.lapsed, h.heldSince, h.held, h.confirmed = nil, time.Time{}, 0, false
 }
 
@@ -43,6 +51,39 @@
 	h.heard[id] = time.Now()
 }
 
+// session books that a warden's session was heard of; false where its end is on
+// its way already.
+func (h *hearts) session(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if slices.Contains(h.ending, id) {
+		return false
+	}
+	h.sessions.Heard(id, time.Since(h.node.began))
+	return true
+}
+
+// lookSessions ends those that were not heard of for a whole time to live.
+func (h *hearts) lookSessions() {
+	h.mu.Lock()
+	ids := h.sessions.Overdue(h.node.store.sessions(), time.Since(h.node.began))
+	h.ending = ids
+	h.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	defer func() {
+		h.mu.Lock()
+		h.ending = nil
+		h.mu.Unlock()
+	}()
+	if _, err := h.node.apply(Command{Request: NewID(), Op: OpSessionEnd, Ended: ids, Failed: true}); err != nil {
+		h.node.log.Warn("sessions not ended", "count", len(ids), "err", err)
+		return
+	}
+	h.node.log.Info("sessions ended: not heard of", "sessions", ids)
+}
+
 // confirm has what is held back lapse.
 func (h *hearts) confirm() int {
 	h.mu.Lock()
@@ -58,16 +99,16 @@
 	return h.held, h.heldSince
 }
 
-// look lapses what is due.
-func (h *hearts) look(now time.Time) {
+// look lapses what is due, under the fence of the duty that asks for it, if any.
+func (h *hearts) look(now time.Time, fence Command) (n int, a Answer, err error) {
 	members, _, _ := h.node.store.members()
 	due := h.due(members, now)
-	if len(due) == 0 {
-		return
+	if len(due) == 0 && fence.Duty == "" {
+		return 0, Answer{Status: http.StatusOK}, nil
 	}
-	if _, err := h.node.apply(Command{Request: NewID(), Op: OpLapse, Lapsed: due}); err != nil {
-		h.node.log.Warn("registrations not ended", "count", len(due), "err", err)
-		return
+	a, err = h.node.apply(Command{Request: NewID(), Op: OpLapse, Lapsed: due, Duty: fence.Duty, Token: fence.Token})
+	if err != nil || a.Status != http.StatusOK || len(due) == 0 {
+		return 0, a, err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -76,6 +117,7 @@
 		h.lapsed = append(h.lapsed, now)
 	}
 	h.node.log.Info("registrations lapsed", "members", due)
+	return len(due), a, nil
 }
 
 // due gives what is to lapse now, by id with its Since: nothing, where too much
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -48,6 +48,7 @@
 	cfg    *Config
 	log    *slog.Logger
 	store  *store
+	began  time.Time
 	raft   *raft.Raft
 	bolt   *raftboltdb.BoltStore
 	http   *http.Server
@@ -74,7 +75,7 @@
 
 // Start opens a node's store and serves.
 func Start(cfg *Config, log *slog.Logger) (_ *Node, err error) {
-	n := &Node{cfg: cfg, log: log, store: newStore()}
+	n := &Node{cfg: cfg, log: log, store: newStore(), began: time.Now()}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.hearts = newHearts(n)
 	n.figs = newFigures(n)
@@ -300,6 +301,7 @@
 // lead does what only a leader does, from when this node is one until it is
 // not any more.
 func (n *Node) lead() {
+	var looked time.Time
 	for {
 		select {
 		case <-n.ctx.Done():
@@ -312,9 +314,19 @@
 			}
 			n.log.Info("leader", "term", n.raft.CurrentTerm())
 			n.begin()
-		case <-time.After(lapseEvery):
-			if n.raft.State() == raft.Leader {
-				n.hearts.look(time.Now())
+		case <-time.After(sessionEvery):
+			if n.raft.State() != raft.Leader {
+				continue
+			}
+			n.hearts.lookSessions()
+			if now := time.Now(); now.Sub(looked) >= lapseEvery {
+				looked = now
+				if n.cfg.Lapse.By == "duty" {
+					continue
+				}
+				if _, _, err := n.hearts.look(now, Command{}); err != nil {
+					n.log.Warn("registrations not ended", "err", err)
+				}
 			}
 		}
 	}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -43,6 +43,13 @@
 	OpLapse  Op = "lapse"  // several at once that were not heard of
 	OpEpoch  Op = "epoch"  // the group begins, or was restored
 	OpZone   Op = "zone"   // a zone is put into a region, or out of any
+
+	OpSession    Op = "session"     // a warden opens one
+	OpSessionEnd Op = "session-end" // it leaves, or was not heard of
+	OpGrant      Op = "grant"       // a duty that nobody holds
+	OpNote       Op = "note"        // where its work stands
+	OpRelease    Op = "release"     // it is given up
+	OpHold       Op = "hold"        // operators: nobody may hold it; or anybody may again
 )
 
 // Command is one change, as it stands in the log.
@@ -58,7 +65,16 @@
 	Epoch   string           `json:"epoch,omitempty"`
 	Zone    string           `json:"zone,omitempty"`
 	Region  string           `json:"region,omitempty"` // empty: the zone is of none
-	At      int64            `json:"at,omitempty"`     // Unix ms, drawn by the leader: replicas read no clock
+	Session Session          `json:"session,omitzero"`
+	Ended   []string         `json:"ended,omitempty"` // sessions
+	Duty    string           `json:"duty,omitempty"`  // of the duty's own; on any other, with Token, its fence
+	Token   int64            `json:"token,omitempty"`
+	Note    string           `json:"note,omitempty"`
+	Next    string           `json:"next,omitempty"`
+	Good    bool             `json:"good,omitempty"` // the work goes well
+	Failed  bool             `json:"failed,omitempty"`
+	Off     bool             `json:"off,omitempty"`
+	At      int64            `json:"at,omitempty"` // Unix ms, drawn by the leader: replicas read no clock
 }
 
 // Answer is what a command came to.
@@ -67,6 +83,7 @@
 	Status   int    `json:"status"` // as HTTP has it: 200, 404, 409
 	Error    string `json:"error,omitempty"`
 	Changed  int64  `json:"changed,omitempty"` // of the member, where that was at odds
+	Token    int64  `json:"token,omitempty"`   // of a grant; where a token was refused, the present one
 }
 
 // Change is one entry of the history.
@@ -86,12 +103,18 @@
 	Order    []string          `json:"order"`           // of Answers, oldest first
 	Zones    map[string]string `json:"zones,omitempty"` // the region of each that is in one
 
+	Sessions map[string]Session `json:"sessions,omitempty"`
+	Duties   map[string]Duty    `json:"duties,omitempty"`
+	Tokens   int64              `json:"tokens,omitempty"`   // the last that was granted
+	DutyRev  int64              `json:"duty_rev,omitempty"` // of sessions and duties; only grows
+
 	at map[string]string // the member at each address; made anew where it is nil
 }
 
 // NewState makes that of a group which has just begun.
 func NewState() *State {
-	return &State{Members: map[string]Member{}, Answers: map[string]Answer{}, Zones: map[string]string{}}
+	return &State{Members: map[string]Member{}, Answers: map[string]Answer{}, Zones: map[string]string{},
+		Sessions: map[string]Session{}, Duties: map[string]Duty{}}
 }
 
 // Apply takes one command. The same commands in the same order give the same
@@ -114,6 +137,9 @@
 }
 
 func (s *State) apply(c *Command) Answer {
+	if a, done := s.applyDuty(c); done {
+		return a
+	}
 	switch c.Op {
 	case OpAdd:
 		return s.add(c)
@@ -154,6 +180,8 @@
 		return Answer{Status: 200}
 	case OpEpoch:
 		s.Epoch, s.History = c.Epoch, nil // whoever watches from before gets the whole list
+		s.Tokens = max(s.Tokens, c.At/1000*tokensASecond)
+		s.DutyRev++
 		s.Revision++
 		return Answer{Status: 200}
 	}
@@ -308,6 +336,17 @@
 	if s.Zones == nil { // of a version that had none
 		s.Zones = map[string]string{}
 	}
+	if s.Sessions == nil {
+		s.Sessions = map[string]Session{}
+	}
+	if s.Duties == nil {
+		s.Duties = map[string]Duty{}
+	}
+	for name, d := range s.Duties {
+		if d.Token > s.Tokens {
+			return nil, fmt.Errorf("snapshot: duties.%s.token: %d is beyond the last, %d", name, d.Token, s.Tokens)
+		}
+	}
 	for id, m := range s.Members {
 		if m.ID != id || m.Phase == discovery.Removed {
 			return nil, fmt.Errorf("snapshot: members.%s: not a member that can be held", id)
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -23,11 +23,12 @@
 	whole   []byte           // the whole list as a line, at wholeAt
 	wholeAt int64
 	changed chan struct{}
+	stirred chan struct{} // closed when a session or a duty has changed
 	applied func(Command, Answer)
 }
 
 func newStore() *store {
-	return &store{state: NewState(), lines: map[int64][]byte{}, changed: make(chan struct{}), applied: func(Command, Answer) {}}
+	return &store{state: NewState(), lines: map[int64][]byte{}, changed: make(chan struct{}), stirred: make(chan struct{}), applied: func(Command, Answer) {}}
 }
 
 // Apply is raft.FSM's: one committed command.
@@ -37,11 +38,14 @@
 		return Answer{Status: 400, Error: err.Error()} // the same on every node
 	}
 	s.mu.Lock()
-	before := s.state.Revision
+	before, duties := s.state.Revision, s.state.DutyRev
 	a := s.state.Apply(c)
 	if s.state.Revision != before {
 		s.wake()
 	}
+	if s.state.DutyRev != duties {
+		s.stir()
+	}
 	s.mu.Unlock()
 	s.applied(c, a)
 	return a
@@ -94,6 +98,7 @@
 	s.state = state
 	s.lines = map[int64][]byte{}
 	s.wake()
+	s.stir()
 	return nil
 }
 
@@ -169,6 +174,38 @@
 	return out
 }
 
+// stir has every poll of the duties look; s.mu is held.
+func (s *store) stir() {
+	close(s.stirred)
+	s.stirred = make(chan struct{})
+}
+
+// duties gives all duties, and what is closed at their next change.
+func (s *store) duties() (DutyList, <-chan struct{}) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.state.dutyList(), s.stirred
+}
+
+func (s *store) hasSession(id string) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	_, ok := s.state.Sessions[id]
+	return ok
+}
+
+func (s *store) sessions() map[string]Session {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return maps.Clone(s.state.Sessions)
+}
+
+func (s *store) tokens() (last, dutyRev int64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.state.Tokens, s.state.DutyRev
+}
+
 // members gives a copy of all members.
 func (s *store) members() (all []Member, epoch string, revision int64) {
 	s.mu.RLock()
