Play duties with real wardens in the lab, and time how long nobody holds one

Need: duties are to be shown with several processes and faults between them, and the time without a holder measured.

A relay's test with the owner of a log that stands still.

Tests of the rule with a step counted twice and with an older token.

--- a/internal/duty/command/command.go
+++ b/internal/duty/command/command.go
@@ -45,14 +45,6 @@
 			return nil
 		},
 		RunE: func(c *cobra.Command, _ []string) error {
-			work := map[string]duty.Work{}
-			for _, d := range duties {
-				w, ok := all[d]
-				if !ok {
-					return fmt.Errorf("%w: --duties: %q is unknown; list-keeper is known", errUsage, d)
-				}
-				work[d] = w
-			}
 			var h slog.Handler = slog.NewTextHandler(errOut, nil)
 			switch form {
 			case "text":
@@ -61,7 +53,16 @@
 			default:
 				return fmt.Errorf("%w: --log: %q; text and json are allowed", errUsage, form)
 			}
-			log := slog.New(h)
+			log := slog.New(h).With("warden", name)
+			all := map[string]duty.Work{duty.ListKeeper: duty.KeepList, duty.Counter: duty.Count(log)}
+			work := map[string]duty.Work{}
+			for _, d := range duties {
+				w, ok := all[d]
+				if !ok {
+					return fmt.Errorf("%w: --duties: %q is unknown; list-keeper and count are known", errUsage, d)
+				}
+				work[d] = w
+			}
 			g, err := client.New(nodes, 1, log)
 			if err != nil {
 				return fmt.Errorf("%w: --nodes: %w", errUsage, err)
@@ -79,7 +80,7 @@
 				go s.Serve(ln) // ends by Close
 				defer s.Close()
 			}
-			return duty.Run(c.Context(), duty.Options{Client: g, Warden: name, TTL: ttl, Duties: work, Log: log.With("warden", name), Figures: figures})
+			return duty.Run(c.Context(), duty.Options{Client: g, Warden: name, TTL: ttl, Duties: work, Log: log, Figures: figures})
 		}}
 	host, _ := os.Hostname() // a default alone
 	c.Flags().StringSliceVar(&nodes, "nodes", []string{"127.0.0.1:7800"}, "nodes of the list service")
@@ -103,6 +104,3 @@
 		return Failed
 	}
 }
-
-// all are the duties that a warden knows.
-var all = map[string]duty.Work{duty.ListKeeper: duty.KeepList}
--- /dev/null
+++ b/internal/duty/count.go
@@ -0,0 +1,40 @@
+package duty
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"time"
+)
+
+// Counter is a duty that counts: each step is one effect. It shows that duties
+// are granted, handed over and fenced, and the lab judges wardens by it.
+const Counter = "count"
+
+const countEvery = 20 * time.Millisecond
+
+// Count is its work. It goes on from where the holder before stood, as it is
+// noted at the store.
+func Count(log *slog.Logger) Work {
+	return func(ctx context.Context, g *Grant) error {
+		n := 0
+		if g.Note != "" {
+			var err error
+			if n, err = strconv.Atoi(g.Note); err != nil {
+				return fmt.Errorf("count: note: %w", err)
+			}
+		}
+		for sleep(ctx, countEvery) {
+			n++
+			if err := g.Save(ctx, strconv.Itoa(n)); err != nil {
+				if ctx.Err() != nil {
+					return nil // lost, or to stop: whether it counted, the note tells
+				}
+				return err
+			}
+			log.Info("counted", "count", n, "token", g.Token)
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/lab/bench_duty.go
@@ -0,0 +1,251 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"troutusher/internal/duty"
+	"troutusher/internal/lab/model"
+	"troutusher/internal/lab/process"
+	"troutusher/internal/registry"
+	"troutusher/internal/registry/client"
+)
+
+// DutyBenchOptions say what of the duties is measured.
+type DutyBenchOptions struct {
+	Registry, Warden string // programs
+	Out              string
+	TTL              []time.Duration
+	Kills            []int // of the holder, for each time to live
+	Handovers        int
+	Duties           []int
+	Say              func(format string, args ...any)
+}
+
+const benchWardens = 5
+
+// wardens are processes that hold list-keeper among them.
+type wardens struct {
+	b     *benchGroup
+	bin   string
+	ttl   time.Duration
+	logs  *os.File
+	procs map[string]*process.Proc
+	c     *client.Client
+}
+
+func (w *wardens) start(name string) error {
+	p, err := process.Start(name, w.bin, []string{"--nodes", strings.Join(w.b.http, ","), "--name", name, "--ttl", w.ttl.String()}, nil, w.logs)
+	if err != nil {
+		return err
+	}
+	w.procs[name] = p
+	return nil
+}
+
+// held waits for a grant after a token, and for as many wardens as there are.
+func (w *wardens) held(ctx context.Context, after int64, sessions int) (registry.Duty, error) {
+	revision := int64(0)
+	for ctx.Err() == nil {
+		var l registry.DutyList
+		if _, err := w.c.Do(ctx, http.MethodGet, fmt.Sprintf("%s?after=%d&wait_ms=1000", registry.DutiesPath, revision), nil, &l); err != nil {
+			return registry.Duty{}, fmt.Errorf("bench: %w", err)
+		}
+		revision = l.Revision
+		for _, d := range l.Duties {
+			if d.Name == duty.ListKeeper && d.Holder != "" && d.Token > after && len(l.Sessions) >= sessions {
+				return d, nil
+			}
+		}
+	}
+	return registry.Duty{}, ctx.Err()
+}
+
+// BenchDuty measures how long a duty is nobody's, and what duties cost the store.
+func BenchDuty(ctx context.Context, o DutyBenchOptions) ([]Spread, error) {
+	dir, err := filepath.Abs(o.Out)
+	if err == nil {
+		err = os.MkdirAll(dir, 0o755)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("bench: %w", err)
+	}
+	if len(o.Kills) != len(o.TTL) {
+		return nil, errors.New("bench: as many kills as times to live are wanted")
+	}
+	var out []Spread
+	var mu sync.Mutex
+	add := func(name string, v []float64) {
+		mu.Lock()
+		defer mu.Unlock()
+		s := spreadOf(name, v)
+		out = append(out, s)
+		o.Say("%-72s n=%-5d p50 %.1f  p90 %.1f  p99 %.1f  max %.1f", s.Name, s.N, s.P50, s.P90, s.P99, s.Max)
+	}
+	group := func(name string, f func(b *benchGroup, c *client.Client, logs *os.File) error) error {
+		ip, lock, err := claim()
+		if err != nil {
+			return err
+		}
+		defer lock.Close()
+		at := filepath.Join(dir, name)
+		if err := os.MkdirAll(at, 0o755); err != nil {
+			return fmt.Errorf("bench: %w", err)
+		}
+		logs, err := os.Create(filepath.Join(at, "log"))
+		if err != nil {
+			return fmt.Errorf("bench: %w", err)
+		}
+		defer logs.Close()
+		b := &benchGroup{ip: ip, dir: at, bin: o.Registry, port: firstPort, logs: logs}
+		c, err := b.begin(ctx, 3, 0)
+		if err != nil {
+			return err
+		}
+		defer b.stop()
+		defer c.Close()
+		return f(b, c, logs)
+	}
+	var g errgroup.Group // mostly they wait: side by side
+	for i, ttl := range o.TTL {
+		g.Go(func() error {
+			return group("kill-"+ttl.String(), func(b *benchGroup, c *client.Client, logs *os.File) error {
+				w := &wardens{b: b, bin: o.Warden, ttl: ttl, logs: logs, procs: map[string]*process.Proc{}, c: c}
+				took, err := w.kills(ctx, o.Kills[i], syscall.SIGKILL)
+				add(fmt.Sprintf("time to live %v: ms without a holder after its kill", ttl), took)
+				return err
+			})
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return out, err
+	}
+	if o.Handovers > 0 {
+		err := group("handover", func(b *benchGroup, c *client.Client, logs *os.File) error {
+			w := &wardens{b: b, bin: o.Warden, ttl: 2 * time.Second, logs: logs, procs: map[string]*process.Proc{}, c: c}
+			took, err := w.kills(ctx, o.Handovers, syscall.SIGTERM)
+			add("ms from SIGTERM of the holder to the next one", took)
+			return err
+		})
+		if err != nil {
+			return out, err
+		}
+	}
+	for _, n := range o.Duties {
+		if err := group(fmt.Sprint("load-", n), func(b *benchGroup, _ *client.Client, _ *os.File) error { return b.load(ctx, n, add) }); err != nil {
+			return out, err
+		}
+	}
+	return out, nil
+}
+
+// kills ends the holder again and again, and gives how long nobody held the duty.
+func (w *wardens) kills(ctx context.Context, n int, s syscall.Signal) (took []float64, err error) {
+	defer func() {
+		for _, p := range w.procs {
+			p.Kill()
+		}
+	}()
+	for i := range benchWardens {
+		if err := w.start(fmt.Sprint("w-", i)); err != nil {
+			return nil, err
+		}
+	}
+	token := int64(0)
+	for k := range n {
+		d, err := w.held(ctx, token, benchWardens)
+		if err != nil {
+			return took, err
+		}
+		if s == syscall.SIGKILL { // until it counts as one that does not kill its holder
+			model.Pause(ctx, w.ttl+200*time.Millisecond)
+		}
+		began := time.Now()
+		if err := w.procs[d.Warden].Signal(s); err != nil {
+			return took, err
+		}
+		if _, err := w.held(ctx, d.Token, 0); err != nil {
+			return took, err
+		}
+		took = append(took, time.Since(began).Seconds()*1e3)
+		token = d.Token
+		w.procs[d.Warden].Kill()
+		if err := w.start(fmt.Sprintf("%s.%d", strings.SplitN(d.Warden, ".", 2)[0], k)); err != nil {
+			return took, err
+		}
+		delete(w.procs, d.Warden)
+	}
+	return took, nil
+}
+
+// load measures what so many duties cost the store while all are held.
+func (b *benchGroup) load(ctx context.Context, n int, add func(string, []float64)) error {
+	work := map[string]duty.Work{}
+	for i := range n {
+		work[fmt.Sprint("d-", i)] = func(ctx context.Context, _ *duty.Grant) error { <-ctx.Done(); return nil }
+	}
+	run, stop := context.WithCancel(ctx)
+	var g errgroup.Group
+	defer func() {
+		stop()
+		g.Wait() // told by the measurement already
+	}()
+	c, err := b.client()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	for i := range benchWardens {
+		own, err := b.client()
+		if err != nil {
+			return err
+		}
+		defer own.Close()
+		g.Go(func() error {
+			return duty.Run(run, duty.Options{Client: own, Warden: fmt.Sprint("w-", i), TTL: 3 * time.Second, Duties: work, Log: slog.New(slog.DiscardHandler)})
+		})
+	}
+	for held := 0; held < n; {
+		var l registry.DutyList
+		if _, err := c.Do(ctx, http.MethodGet, registry.DutiesPath, nil, &l); err != nil {
+			return fmt.Errorf("bench: %w", err)
+		}
+		held = 0
+		for _, d := range l.Duties {
+			if d.Holder != "" {
+				held++
+			}
+		}
+		if !model.Pause(ctx, 20*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	model.Pause(ctx, 4*time.Second) // until all are marked as going well
+	used := func() (all float64) {
+		for _, p := range b.procs {
+			if u, err := p.Measure(""); err == nil {
+				all += u.CPU.Seconds()
+			}
+		}
+		return all
+	}
+	var burnt []float64
+	for range 3 {
+		before := used()
+		model.Pause(ctx, 3*time.Second)
+		burnt = append(burnt, (used()-before)/3*1e3)
+	}
+	add(fmt.Sprintf("%d duties over %d wardens: ms of CPU a second, all nodes", n, benchWardens), burnt)
+	return nil
+}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -85,6 +85,7 @@
 	late     time.Duration
 	program  string
 	registry string
+	warden   string
 	first    string
 }
 
@@ -96,6 +97,7 @@
 	c.Flags().BoolVar(&f.keep, "keep", false, "keep the relays' folders as well")
 	c.Flags().StringVar(&f.program, "relay", "", "the relay's program (default: troutusher beside this one)")
 	c.Flags().StringVar(&f.first, "first", "", "a program that each relay runs first, such as an older one")
+	c.Flags().StringVar(&f.warden, "warden", "", "the wardens' program (default: troutwarden beside this one)")
 	c.Flags().StringVar(&f.registry, "registry", "", "the list service's program (default: troutregistry beside this one)")
 }
 
@@ -128,17 +130,22 @@
 	if err != nil {
 		return nil, err
 	}
-	registry := ""
+	registry, warden := "", ""
 	if s.Registry.Nodes > 0 {
 		if registry, err = find(f.registry, "troutregistry", "registry"); err != nil {
 			return nil, err
 		}
+		if s.Registry.Wardens > 0 {
+			if warden, err = find(f.warden, "troutwarden", "warden"); err != nil {
+				return nil, err
+			}
+		}
 	}
 	out := f.out
 	if out == "" {
 		out = filepath.Join("lab-out", fmt.Sprintf("%s-%d-%s", s.Name, f.seed, time.Now().Format("20060102T150405.000")))
 	}
-	res, err := lab.Run(c.Context(), lab.Options{Scenario: s, Seed: f.seed, Out: out, Program: program, First: f.first, Registry: registry, Keep: f.keep, Late: f.late, Watch: watch})
+	res, err := lab.Run(c.Context(), lab.Options{Scenario: s, Seed: f.seed, Out: out, Program: program, First: f.first, Registry: registry, Warden: warden, Keep: f.keep, Late: f.late, Watch: watch})
 	if res == nil {
 		return nil, err
 	}
@@ -519,10 +526,45 @@
 	r.Flags().DurationVar(&o.Outage, "outage", 20*time.Second, "without a group, before they come back")
 	r.Flags().DurationVar(&o.Load, "load", 5*time.Second, "of each of three plays of writes")
 	r.Flags().Uint64Var(&o.Seed, "seed", 1, "of the moments of the kills")
-	c.AddCommand(r, benchWAL())
+	c.AddCommand(r, benchWAL(), benchDuty())
 	return c
 }
 
+func benchDuty() *cobra.Command {
+	o := lab.DutyBenchOptions{}
+	var program, warden string
+	d := &cobra.Command{Use: "duty", Short: "Duties: how long nobody holds one, and what they cost the store", Args: exactly(0),
+		RunE: func(c *cobra.Command, _ []string) (err error) {
+			if o.Registry, err = find(program, "troutregistry", "registry"); err != nil {
+				return err
+			}
+			if o.Warden, err = find(warden, "troutwarden", "warden"); err != nil {
+				return err
+			}
+			if o.Out == "" {
+				o.Out = filepath.Join("lab-out", "bench-duty-"+time.Now().Format("20060102T150405"))
+			}
+			o.Say = func(format string, args ...any) { fmt.Fprintf(c.OutOrStdout(), format+"\n", args...) }
+			rows, err := lab.BenchDuty(c.Context(), o)
+			if err != nil {
+				return err
+			}
+			text, err := json.MarshalIndent(rows, "", " ")
+			if err != nil {
+				return fmt.Errorf("bench: %w", err)
+			}
+			return os.WriteFile(filepath.Join(o.Out, "bench.json"), text, 0o644)
+		}}
+	d.Flags().StringVar(&program, "registry", "", "the list service's program (default: troutregistry beside this one)")
+	d.Flags().StringVar(&warden, "warden", "", "the wardens' program (default: troutwarden beside this one)")
+	d.Flags().StringVar(&o.Out, "out", "", "folder (default: lab-out/bench-duty-TIME)")
+	d.Flags().DurationSliceVar(&o.TTL, "ttl", []time.Duration{time.Second, 2 * time.Second, 5 * time.Second}, "times to live")
+	d.Flags().IntSliceVar(&o.Kills, "kills", []int{100, 100, 100}, "kills of the holder, for each time to live")
+	d.Flags().IntVar(&o.Handovers, "handovers", 100, "hand-overs in order")
+	d.Flags().IntSliceVar(&o.Duties, "duties", []int{10, 100, 1000}, "duties whose cost is measured")
+	return d
+}
+
 func benchWAL() *cobra.Command {
 	o := lab.WALBenchOptions{}
 	w := &cobra.Command{Use: "wal", Short: "The relay's log: starts, writes, stalls, beside the log before it", Args: exactly(0),
--- a/internal/lab/group.go
+++ b/internal/lab/group.go
@@ -37,10 +37,11 @@
 // group is a list service of real processes, with what the lab does as its
 // endpoints, its watchers and the users of one linearizable register.
 type group struct {
-	run    *run
-	nodes  []*node
-	client *client.Client
-	value  atomic.Int64
+	run     *run
+	nodes   []*node
+	wardens []*warden
+	client  *client.Client
+	value   atomic.Int64
 
 	mu    sync.Mutex
 	muted map[string]bool // endpoints whose heartbeats are kept back
@@ -114,7 +115,7 @@
 			return g, fmt.Errorf("lab: the list service takes no registration: %w", err)
 		}
 	}
-	return g, nil
+	return g, g.newWardens()
 }
 
 // start runs a process of the node.
@@ -415,6 +416,12 @@
 
 // close ends the group's processes, links and files.
 func (g *group) close() {
+	for _, w := range g.wardens {
+		if w.proc != nil {
+			w.proc.Signal(syscall.SIGCONT)
+			w.signal(syscall.SIGKILL)
+		}
+	}
 	for _, n := range g.nodes {
 		n.mu.Lock()
 		p := n.proc
@@ -427,6 +434,12 @@
 }
 
 func (g *group) closeLinks() {
+	for _, w := range g.wardens {
+		for _, l := range w.links {
+			l.Close()
+		}
+		w.log.Close()
+	}
 	for _, n := range g.nodes {
 		n.door.Close()
 		for _, l := range n.peers {
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -49,6 +49,7 @@
 	BadPeer Kind = "peer"    // a bad peer was answered, closed or left [Relay Text Status Took]
 	Wrong   Kind = "wrong"   // a call that no endpoint should have seen [Relay Endpoint Msg Text]
 	Watched Kind = "watched" // a watcher heard news of the list service [Relay Text(epoch) Due(revision) Phase First(hash)]
+	Effect  Kind = "effect"  // a step of a duty that counted, told at the end of the run [Relay Text Status(step) For(token) Due(when)]
 	Op      Kind = "op"      // an operation on a register in the list service ended [Relay Text Due(began) For(value) Status]
 )
 
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -148,6 +148,7 @@
 
 // Judge takes a history event by event.
 type Judge struct {
+	effects []history.Event // of duties
 	set     Setting
 	v       Verdict
 	msgs    map[string]*message
@@ -248,6 +249,8 @@
 		j.notice(e)
 	case history.Watched:
 		j.watched(e)
+	case history.Effect:
+		j.effects = append(j.effects, e)
 	case history.Op:
 		j.list.ops = append(j.list.ops, e)
 	case history.Outage:
@@ -489,6 +492,7 @@
 		j.finishProcess(p)
 	}
 	j.linear()
+	j.duties()
 	slices.SortStableFunc(j.v.Broken, func(a, b Broken) int { return int(a.B.T - b.B.T) })
 	return j.v
 }
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -260,6 +260,28 @@
 	}
 }
 
+// TestDefectsOfADuty: a step that counts twice, and one under an older token than
+// the step before it, are caught; steps whose answer was lost are not missed.
+func TestDefectsOfADuty(t *testing.T) {
+	for name, x := range map[string]struct {
+		steps  [][2]int64 // step, token
+		broken bool
+	}{
+		"sound":          {[][2]int64{{1, 5}, {2, 5}, {3, 8}, {4, 9}}, false},
+		"answers lost":   {[][2]int64{{1, 5}, {4, 5}, {9, 8}}, false},
+		"twice":          {[][2]int64{{1, 5}, {2, 5}, {2, 8}}, true},
+		"an older token": {[][2]int64{{1, 5}, {2, 8}, {3, 5}}, true},
+	} {
+		s := &script{}
+		for _, step := range x.steps {
+			s.add(history.Event{Kind: history.Effect, Relay: "w1", Text: "count", Status: int(step[0]), For: step[1]})
+		}
+		if v := judgeAll(s.events); (v.Counts["duty"] > 0) != x.broken {
+			t.Errorf("%s: %v", name, v.Broken)
+		}
+	}
+}
+
 // TestToldUpBeforeTheOperatorHears: the list's answer to the operator may be
 // late, or lost with a leader, when the relay has heard of the change already.
 func TestToldUpBeforeTheOperatorHears(t *testing.T) {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -36,6 +36,7 @@
 	Program  string   // the relay under test
 	First    string   // another that each relay runs first, such as an older one; empty for none
 	Registry string   // the list service's, where the scenario has one
+	Warden   string   // the wardens', where it has them
 	Args     []string // of it
 	Env      []string // added to its environment
 	Keep     bool     // of a kept run: the relays' folders too
@@ -491,6 +492,7 @@
 	}
 	r.wg.Wait()
 	if r.group != nil {
+		r.fail(r.group.effects())
 		r.group.closeLinks()
 	}
 	for _, x := range r.relays {
--- a/internal/lab/plan.go
+++ b/internal/lab/plan.go
@@ -75,6 +75,8 @@
 	switch scenario.Kinds[fault.Kind] {
 	case "relay":
 		could = pickable(s.Fleet.Relays, fault.Relays, func(i int) bool { return fault.Zone == "" || f.relayZone(i) == fault.Zone })
+	case "warden":
+		could = pickable(s.Registry.Wardens, nil, func(int) bool { return true })
 	case "node":
 		could = pickable(s.Registry.Nodes, nil, func(int) bool { return true })
 	case "endpoint", "registration":
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -75,8 +75,10 @@
 
 // Registry is a list service of real processes in discovery's place.
 type Registry struct {
-	Nodes int     `toml:"nodes"` // 0 for none: discovery is the lab's own
-	TTL   float64 `toml:"ttl"`   // of the endpoints' registrations
+	Nodes     int     `toml:"nodes"` // 0 for none: discovery is the lab's own
+	TTL       float64 `toml:"ttl"`   // of the endpoints' registrations
+	Wardens   int     `toml:"wardens"`
+	WardenTTL float64 `toml:"warden_ttl"` // of their sessions
 }
 
 // Peers are the peers that send no proper request.
@@ -116,6 +118,7 @@
 	"drain":    "endpoint",
 	"turnaway": "discovery", "quiet": "discovery",
 	"node-kill": "node", "node-pause": "node", "node-cut": "node", "lapse": "registration", "restore": "group",
+	"warden-kill": "warden", "warden-pause": "warden", "warden-cut": "warden",
 }
 
 // Damage are the kinds that spoil a file while its relay is down.
@@ -125,7 +128,7 @@
 var Folders = []string{"kept", "lost", "older"}
 
 // Nodes are whom a fault on the list service may strike by name.
-var Nodes = []string{"leader", "follower", "all"}
+var Nodes = []string{"leader", "follower", "all", "holder"}
 
 // Ways of a link.
 var Ways = []string{"forth", "back", "both"}
@@ -139,7 +142,7 @@
 			ConnsFactor: 4},
 		Load:     Load{Rate: 60, Retries: 2, Clumps: 0.1},
 		Disc:     Disc{LateS: 1},
-		Registry: Registry{TTL: 3},
+		Registry: Registry{TTL: 3, WardenTTL: 1.5},
 		Peers:    Peers{Kinds: []string{"garbage", "silent", "half", "unknown"}}}
 }
 
@@ -320,6 +323,12 @@
 	if !(s.Registry.TTL >= 0.5 && s.Registry.TTL <= 3600) {
 		return "registry.ttl", fmt.Sprintf("%v; from 0.5 to 3600 is allowed", s.Registry.TTL)
 	}
+	if w := s.Registry.Wardens; w < 0 || w > 16 || w > 0 && s.Registry.Nodes == 0 {
+		return "registry.wardens", fmt.Sprintf("%d; from 0 to 16 is allowed, and a list service is wanted", w)
+	}
+	if !(s.Registry.WardenTTL >= 0.3 && s.Registry.WardenTTL <= 60) {
+		return "registry.warden_ttl", fmt.Sprintf("%v; from 0.3 to 60 is allowed", s.Registry.WardenTTL)
+	}
 	if f.Promise != "" && f.Promise != "process" && f.Promise != "power" {
 		return "fleet.promise", fmt.Sprintf("%q; process and power are allowed", f.Promise)
 	}
@@ -385,6 +394,12 @@
 			return "cells", fmt.Sprintf("%d; from 0 to %d is allowed", n, s.Part.Destinations-1)
 		}
 	}
+	if target == "warden" && s.Registry.Wardens == 0 {
+		return "kind", f.Kind + " wants wardens: registry.wardens is 0"
+	}
+	if f.Node == "holder" && target != "warden" {
+		return "node", "holder is of warden-* alone"
+	}
 	if (target == "node" || target == "registration" || target == "group") && s.Registry.Nodes == 0 {
 		return "kind", f.Kind + " wants a list service: registry.nodes is 0"
 	}
--- /dev/null
+++ b/internal/lab/wardens.go
@@ -0,0 +1,182 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"troutusher/internal/duty"
+	"troutusher/internal/lab/history"
+	"troutusher/internal/lab/link"
+	"troutusher/internal/lab/process"
+	"troutusher/internal/lab/scenario"
+	"troutusher/internal/registry"
+)
+
+// warden is one warden, over all of its processes. It asks each node through a
+// link of its own.
+type warden struct {
+	group *group
+	name  string
+	links []*link.Link
+	path  string // of its log
+	log   *os.File
+	busy  sync.Mutex
+
+	mu   sync.Mutex
+	proc *process.Proc
+}
+
+func (g *group) newWardens() error {
+	r := g.run
+	for i := range r.scen.Registry.Wardens {
+		w := &warden{group: g, name: fmt.Sprint("w", i+1), path: filepath.Join(r.opts.Out, "logs", fmt.Sprintf("w%d.log", i+1))}
+		for _, n := range g.nodes {
+			l, err := r.world.Net.Listen(w.name, n.name, r.address(), n.http, r.seed, nil)
+			if err != nil {
+				return err
+			}
+			w.links = append(w.links, l)
+		}
+		var err error
+		if w.log, err = os.Create(w.path); err != nil {
+			return fmt.Errorf("lab: %w", err)
+		}
+		g.wardens = append(g.wardens, w)
+		if err := w.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *warden) start() error {
+	r := w.group.run
+	var nodes []string
+	for _, l := range w.links {
+		nodes = append(nodes, l.Addr())
+	}
+	p, err := process.Start(w.name, r.opts.Warden, []string{"--nodes", strings.Join(nodes, ","), "--name", w.name,
+		"--ttl", scenario.Secs(r.scen.Registry.WardenTTL).String(), "--duties", duty.ListKeeper + "," + duty.Counter}, nil, w.log)
+	if err != nil {
+		return err
+	}
+	r.rec.Put(history.Event{Kind: history.Start, Relay: w.name, PID: p.PID, Text: "node"})
+	w.mu.Lock()
+	w.proc = p
+	w.mu.Unlock()
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		<-p.Done()
+		code, text := p.Exit()
+		r.rec.Put(history.Event{Kind: history.Exit, Relay: w.name, PID: p.PID, Status: code, Text: text})
+	}()
+	return nil
+}
+
+func (w *warden) signal(s syscall.Signal) {
+	w.mu.Lock()
+	p := w.proc
+	w.mu.Unlock()
+	w.group.run.rec.Put(history.Event{Kind: history.Signal, Relay: w.name, PID: p.PID, Text: s.String()})
+	if s == syscall.SIGKILL {
+		p.Kill()
+		return
+	}
+	p.Signal(s)
+}
+
+func (w *warden) cut(way string, on bool) {
+	for _, l := range w.links {
+		if way != "back" {
+			l.Set(link.Forth, link.Faults{Cut: on})
+		}
+		if way != "forth" {
+			l.Set(link.Back, link.Faults{Cut: on})
+		}
+	}
+}
+
+// strikeWardens carries out a fault on wardens; "holder" is whoever counts now.
+func (g *group) strikeWardens(ctx context.Context, s Step) error {
+	targets := s.Targets
+	if s.Fault.Node == "holder" {
+		targets = nil
+		var l registry.DutyList
+		if _, err := g.client.Do(ctx, http.MethodGet, registry.DutiesPath, nil, &l); err != nil {
+			return nil // the load is over
+		}
+		for _, d := range l.Duties {
+			for i, w := range g.wardens {
+				if d.Name == duty.Counter && d.Holder != "" && d.Warden == w.name {
+					targets = []int{i}
+				}
+			}
+		}
+	}
+	return g.run.each(targets, func(i int) error {
+		w := g.wardens[i]
+		w.busy.Lock()
+		defer w.busy.Unlock()
+		if ctx.Err() != nil {
+			return nil
+		}
+		switch s.Fault.Kind {
+		case "warden-kill":
+			w.signal(syscall.SIGKILL)
+			g.run.hold(ctx, s)
+			return w.start()
+		case "warden-pause":
+			w.signal(syscall.SIGSTOP)
+			g.run.hold(ctx, s)
+			w.signal(syscall.SIGCONT)
+		case "warden-cut":
+			w.cut(s.Fault.Way, true)
+			g.run.hold(ctx, s)
+			w.cut(s.Fault.Way, false)
+		}
+		return nil
+	})
+}
+
+var counted = regexp.MustCompile(`^time=(\S+) .*msg=counted .*count=(\d+) token=(\d+)`)
+
+// effects puts what the wardens counted into the history, once they have ended.
+func (g *group) effects() error {
+	var errs []error
+	for _, w := range g.wardens {
+		f, err := os.Open(w.path)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		lines := bufio.NewScanner(f)
+		for lines.Scan() {
+			m := counted.FindStringSubmatch(lines.Text())
+			if m == nil {
+				continue
+			}
+			at, err := time.Parse(time.RFC3339Nano, m[1])
+			count, cerr := strconv.Atoi(m[2])
+			token, terr := strconv.ParseInt(m[3], 10, 64)
+			if err := errors.Join(err, cerr, terr); err != nil {
+				errs = append(errs, err)
+				continue
+			}
+			g.run.rec.Put(history.Event{Kind: history.Effect, Relay: w.name, Text: duty.Counter, Status: count, For: token, Due: at.UnixMicro()})
+		}
+		errs = append(errs, lines.Err(), f.Close())
+	}
+	return errors.Join(errs...)
+}
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -350,3 +350,44 @@
 		t.Errorf("gone %v, kept %d", r.endpoints["s-1"].gone, len(r.early))
 	}
 }
+
+// Hard case: the owner stands still (SIGSTOP). The next process waits and writes
+// nothing; once the owner goes on it passes on, and once one is killed the other
+// has the log. There is one writer at any time.
+func TestOwnerStandsStill(t *testing.T) {
+	env := testConfig(t, discoverytest.New(t), 3)
+	env["ROUTER_OPERATOR"] = loopback.Free()
+	owner := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	if s := cl.put("held", fields("plain", 20000, 9), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	owner.cmd.Process.Signal(syscall.SIGSTOP)
+	env["ROUTER_OPERATOR"] = loopback.Free()
+	next := spawn(t, env)
+	wish, err := wal.OpenLock(env["ROUTER_STATE"], wal.NextName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer wish.Close()
+	waitFor(t, "the wish", func() bool { held, err := wish.Held(); return held && err == nil })
+	before, err := wal.Inspect(nil, env["ROUTER_STATE"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !next.says(false) {
+		t.Error("the next process says yes while the owner stands still")
+	}
+	if after, err := wal.Inspect(nil, env["ROUTER_STATE"]); err != nil || after.Seq != before.Seq || after.By != before.By {
+		t.Errorf("written by another: %+v, then %+v, %v", before, after, err)
+	}
+	owner.cmd.Process.Signal(syscall.SIGCONT)
+	waitFor(t, "the next one says yes", func() bool { return next.says(true) })
+	owner.kill()
+	next.kill()
+	env["ROUTER_OPERATOR"] = loopback.Free()
+	startChild(t, env)
+	if r, err := wal.Inspect(nil, env["ROUTER_STATE"]); err != nil || r.Owed != 1 || !r.Sound() {
+		t.Errorf("%+v, %v", r, err)
+	}
+}
