See a lost relay's folder to its end by the duty salvage; begin work at the grant's note

Need: a relay that will not come back leaves messages that nobody ends.

Change: orders of the operators in the list service, whose progress only the holder of their duty may tell; internal/salvage: under the folder's lock and a token kept in it, the log is exported and fenced, then each message is handed back where it never ran and given up where it may have; troutctl salvage. A grant's answer carries the note as the state has it then; before, Holder.begin took it from a list polled earlier. A holder that dies after it has lasted does not count towards the back-off.

--- a/internal/duty/command/command.go
+++ b/internal/duty/command/command.go
@@ -18,6 +18,7 @@
 
 	"troutusher/internal/duty"
 	"troutusher/internal/registry/client"
+	"troutusher/internal/salvage"
 )
 
 // Exit codes.
@@ -54,20 +55,20 @@
 				return fmt.Errorf("%w: --log: %q; text and json are allowed", errUsage, form)
 			}
 			log := slog.New(h).With("warden", name)
-			all := map[string]duty.Work{duty.ListKeeper: duty.KeepList, duty.Counter: duty.Count(log)}
+			g, err := client.New(nodes, 1, log)
+			if err != nil {
+				return fmt.Errorf("%w: --nodes: %w", errUsage, err)
+			}
+			defer g.Close()
+			all := map[string]duty.Work{duty.ListKeeper: duty.KeepList, duty.Counter: duty.Count(log), salvage.Duty: salvage.Work(g)}
 			work := map[string]duty.Work{}
 			for _, d := range duties {
 				w, ok := all[d]
 				if !ok {
-					return fmt.Errorf("%w: --duties: %q is unknown; list-keeper and count are known", errUsage, d)
+					return fmt.Errorf("%w: --duties: %q is unknown; list-keeper, salvage and count are known", errUsage, d)
 				}
 				work[d] = w
 			}
-			g, err := client.New(nodes, 1, log)
-			if err != nil {
-				return fmt.Errorf("%w: --nodes: %w", errUsage, err)
-			}
-			defer g.Close()
 			figures := duty.NewFigures()
 			if operator != "" {
 				ln, err := net.Listen("tcp", operator)
@@ -86,7 +87,7 @@
 	c.Flags().StringSliceVar(&nodes, "nodes", []string{"127.0.0.1:7800"}, "nodes of the list service")
 	c.Flags().StringVar(&name, "name", host, "this warden, for people")
 	c.Flags().DurationVar(&ttl, "ttl", 3*time.Second, "time to live of its session: another takes over so long after it was last heard of")
-	c.Flags().StringSliceVar(&duties, "duties", []string{duty.ListKeeper}, "what it may hold")
+	c.Flags().StringSliceVar(&duties, "duties", []string{duty.ListKeeper, salvage.Duty}, "what it may hold")
 	c.Flags().StringVar(&operator, "operator", "", "where /v1/metrics is served; empty for nowhere")
 	c.Flags().StringVar(&form, "log", "text", "text or json, on standard error")
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -343,6 +343,11 @@
 	if names := h.wanted(&wait); len(names) != 0 || wait < failWait || wait > 3*failWait {
 		t.Errorf("asks for %v, waits %v", names, wait)
 	}
+	do(registry.Command{Op: registry.OpSession, Session: registry.Session{ID: "l", Warden: "l", TTL: time.Second}})
+	do(registry.Command{Op: registry.OpGrant, Duty: "d", Session: registry.Session{ID: "l"}, At: 1000})
+	if do(registry.Command{Op: registry.OpSessionEnd, Ended: []string{"l"}, Failed: true, At: 9000}); s.Duties["d"].Fails != 1 {
+		t.Errorf("a holder that died after it had lasted: %+v", s.Duties["d"])
+	}
 	do(registry.Command{Op: registry.OpSession, Session: registry.Session{ID: "g", Warden: "g", TTL: time.Second}})
 	a := do(registry.Command{Op: registry.OpGrant, Duty: "d", Session: registry.Session{ID: "g"}})
 	if a = do(registry.Command{Op: registry.OpNote, Duty: "d", Token: a.Token, Good: true}); a.Status != 200 || s.Duties["d"].Fails != 0 {
@@ -350,6 +355,38 @@
 	}
 }
 
+// A grant tells where the holder before stood at that moment: the list that the
+// asker has seen may be older than its last step.
+func TestAGrantTellsWhereTheWorkStands(t *testing.T) {
+	_, addr := startNode(t, nil)
+	c := newClient(t, addr)
+	post := func(path string, body, out any) {
+		t.Helper()
+		if _, err := c.Do(t.Context(), http.MethodPost, path, body, out); err != nil {
+			t.Fatal(err)
+		}
+	}
+	post(registry.SessionsPath, registry.SessionRequest{ID: "x", Warden: "x", TTLMS: 60000}, nil)
+	var a registry.Answer
+	post(registry.DutiesPath+"/d/grant", registry.DutyRequest{Session: "x"}, &a)
+	post(registry.DutiesPath+"/d/note", registry.DutyRequest{Token: a.Token, Note: "new"}, nil)
+	post(registry.DutiesPath+"/d/release", registry.DutyRequest{Token: a.Token}, nil)
+	notes := make(chan string, 1)
+	h := &Holder{o: Options{Client: c, Warden: "w", TTL: time.Minute, Log: quiet(), Figures: NewFigures(), Duties: map[string]Work{"d": func(_ context.Context, g *Grant) error {
+		notes <- g.Note
+		return nil
+	}}}, began: time.Now(), session: "x", grants: map[string]*Grant{}, stuck: map[string]bool{}, tokens: map[string]int64{}, away: map[string]time.Time{},
+		seen: map[string]time.Time{}, news: make(chan struct{}, 1)}
+	h.lease = Lease{TTL: time.Minute}
+	h.lease.Renewed(time.Minute)
+	h.see(registry.DutyList{Revision: 1, Duties: []registry.Duty{{Name: "d", Note: "old"}}})
+	h.ask(t.Context(), "d")
+	if note := <-notes; note != "new" {
+		t.Errorf("begins at %q", note)
+	}
+	h.wg.Wait()
+}
+
 // Operators take a duty away: its work ends, its token is refused, nobody has it
 // until it is let go again.
 func TestHeldByTheOperators(t *testing.T) {
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -273,7 +273,7 @@
 	for name := range h.o.Duties {
 		d, known := state[name]
 		if d.Holder != "" && d.Holder == h.session && h.grants[name] == nil && !h.stuck[name] && d.Token > h.tokens[name] {
-			h.begin(name, d.Token) // the answer to its grant was lost; the token proves it
+			h.begin(name, d.Token, d.Term, d.Note) // the answer to its grant was lost; the token proves it
 			continue
 		}
 		if d.Holder != "" || d.Off || h.grants[name] != nil || h.stuck[name] || d.Next != "" && d.Next != h.o.Warden && named[d.Next] {
@@ -327,18 +327,14 @@
 		return // the session that it hangs on is over
 	}
 	if h.grants[name] == nil && a.Token > h.tokens[name] {
-		h.begin(name, a.Token)
+		h.begin(name, a.Token, a.Term, a.Note)
 	}
 }
 
-// begin has the work of a granted duty begun. h.mu is held.
-func (h *Holder) begin(name string, token int64) {
-	g := &Grant{Duty: name, Token: token, h: h, Warden: h.o.Warden}
-	for _, d := range h.view.Duties {
-		if d.Name == name {
-			g.Note, g.Term = d.Note, d.Term+1
-		}
-	}
+// begin has the work of a granted duty begun. The note is of the grant: one seen
+// before it may be older than the last step of the holder before. h.mu is held.
+func (h *Holder) begin(name string, token, term int64, note string) {
+	g := &Grant{Duty: name, Token: token, Term: term, Note: note, h: h, Warden: h.o.Warden}
 	g.ctx, g.cancel = context.WithCancelCause(context.Background())
 	h.grants[name], h.tokens[name] = g, token
 	delete(h.seen, name)
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -103,6 +103,7 @@
 	mux.HandleFunc("GET "+ZonesPath, n.getZones)
 	mux.HandleFunc("POST "+ZonesPath, n.leaderOnly(n.postZone))
 	n.dutyRoutes(mux)
+	n.orderRoutes(mux)
 	mux.HandleFunc("GET "+StatusPath, n.getStatus)
 	mux.HandleFunc("GET "+SnapshotPath, n.leaderOnly(n.getSnapshot))
 	mux.HandleFunc("PUT "+SnapshotPath, n.leaderOnly(n.putSnapshot))
--- a/internal/registry/command/ctl.go
+++ b/internal/registry/command/ctl.go
@@ -36,7 +36,7 @@
 	root.PersistentFlags().StringSliceVar(&x.nodes, "nodes", []string{"127.0.0.1:7800"}, "nodes of the group")
 	root.PersistentFlags().BoolVar(&x.json, "json", false, "JSON in place of a table")
 	root.PersistentFlags().DurationVar(&x.wait, "wait", 10*time.Second, "for an answer")
-	root.AddCommand(x.members(), x.status(), x.snapshot(), x.lapses(), x.zones(), x.duties())
+	root.AddCommand(x.members(), x.status(), x.snapshot(), x.lapses(), x.zones(), x.duties(), x.salvage())
 	root.AddCommand(more...)
 	return run(ctx, root, args, out, errOut)
 }
@@ -236,6 +236,53 @@
 	return c
 }
 
+// salvage gives orders to the duty of that name and follows them.
+func (x *ctl) salvage() *cobra.Command {
+	const kind = "salvage"
+	c := &cobra.Command{Use: kind, Short: "See what a lost relay owed to its end"}
+	put := func(c *cobra.Command, name string, o registry.Order) error {
+		return x.change(c, http.MethodPut, registry.OrdersPath+"/"+kind+"/"+url.PathEscape(name), o)
+	}
+	var spec struct {
+		Folder string `json:"folder"`
+		DiskMB int    `json:"disk_mb"`
+	}
+	start := &cobra.Command{Use: "start NAME", Short: "Have the folder of a relay that will not come back seen to", Args: exactly(1), RunE: func(c *cobra.Command, args []string) error {
+		if !filepath.IsAbs(spec.Folder) {
+			return usageError{fmt.Errorf("--folder: %q; an absolute path is wanted", spec.Folder)}
+		}
+		text, err := json.Marshal(spec)
+		if err != nil {
+			return err
+		}
+		return put(c, args[0], registry.Order{Spec: text, Wish: registry.WishRun})
+	}}
+	start.Flags().StringVar(&spec.Folder, "folder", "", "its state folder, on the machine of the wardens")
+	start.Flags().IntVar(&spec.DiskMB, "disk-mb", 3, "its disk_mb")
+	wish := func(use, short, wish string) *cobra.Command {
+		return &cobra.Command{Use: use + " NAME", Short: short, Args: exactly(1), RunE: func(c *cobra.Command, args []string) error {
+			return put(c, args[0], registry.Order{Wish: wish})
+		}}
+	}
+	status := &cobra.Command{Use: "status", Short: "How far each has come", Args: exactly(0), RunE: func(c *cobra.Command, _ []string) error {
+		var all []registry.Order
+		if _, err := x.ask(c, http.MethodGet, registry.OrdersPath, nil, &all); err != nil {
+			return err
+		}
+		return x.show(c, all, func(w io.Writer) {
+			fmt.Fprintln(w, "NAME\tWISH\tDONE\tSAYS\tPROGRESS")
+			for _, o := range all {
+				if o.Kind == kind {
+					fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\n", o.Name, o.Wish, o.Done, o.Says, o.Progress)
+				}
+			}
+		})
+	}}
+	c.AddCommand(start, status, wish("pause", "Leave it as it is for now", registry.WishPause), wish("resume", "Go on", registry.WishRun),
+		wish("abort", "Call it off, if its folder was not moved yet", registry.WishAbort))
+	return c
+}
+
 func (x *ctl) zones() *cobra.Command {
 	c := &cobra.Command{Use: "zones", Short: "The zones that endpoints stand in, and their regions"}
 	list := &cobra.Command{Use: "list", Short: "List them", Args: exactly(0), RunE: func(c *cobra.Command, _ []string) error {
--- a/internal/registry/duties.go
+++ b/internal/registry/duties.go
@@ -35,7 +35,7 @@
 	// Grants come far slower than this, so an epoch that begins later has the
 	// greater tokens, whatever its backup knew.
 	tokensASecond = 1 << 10
-	noteMost      = 32 << 10
+	noteMost      = 4 << 10 // kept in answers, too: what is longer belongs into an order
 	dutiesMost    = 10000
 )
 
@@ -100,7 +100,8 @@
 // endSession leaves what it held to others. One that was not heard of may have
 // been killed by what it held.
 func (s *State) endSession(id string, c *Command) {
-	if _, ok := s.Sessions[id]; !ok {
+	x, ok := s.Sessions[id]
+	if !ok {
 		return
 	}
 	delete(s.Sessions, id)
@@ -109,7 +110,10 @@
 		if d.Holder != id {
 			continue
 		}
-		if d.Holder, d.Left = "", c.At; c.Failed {
+		d.Holder, d.Left = "", c.At
+		if lasted := time.Duration(c.At-d.Since) * time.Millisecond; c.Failed && lasted > 2*x.TTL {
+			d.Fails = 1 // it had gone well until a time to live ago
+		} else if c.Failed {
 			d.Fails++
 		}
 		s.Duties[name] = d
@@ -143,7 +147,7 @@
 	s.Tokens++
 	d.Name, d.Holder, d.Warden, d.Token, d.Term, d.Next, d.Since = c.Duty, holder.ID, holder.Warden, s.Tokens, d.Term+1, "", c.At
 	s.setDuty(d)
-	return Answer{Status: http.StatusOK, Token: d.Token}
+	return Answer{Status: http.StatusOK, Token: d.Token, Note: d.Note, Term: d.Term}
 }
 
 func (s *State) hasWarden(name string) bool {
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -50,6 +50,8 @@
 	OpNote       Op = "note"        // where its work stands
 	OpRelease    Op = "release"     // it is given up
 	OpHold       Op = "hold"        // operators: nobody may hold it; or anybody may again
+	OpOrder      Op = "order"       // operators: something to be done by a duty
+	OpProgress   Op = "progress"    // of it, by the duty's holder
 )
 
 // Command is one change, as it stands in the log.
@@ -74,6 +76,7 @@
 	Good    bool             `json:"good,omitempty"` // the work goes well
 	Failed  bool             `json:"failed,omitempty"`
 	Off     bool             `json:"off,omitempty"`
+	Order   Order            `json:"order,omitzero"`
 	At      int64            `json:"at,omitempty"` // Unix ms, drawn by the leader: replicas read no clock
 }
 
@@ -84,6 +87,8 @@
 	Error    string `json:"error,omitempty"`
 	Changed  int64  `json:"changed,omitempty"` // of the member, where that was at odds
 	Token    int64  `json:"token,omitempty"`   // of a grant; where a token was refused, the present one
+	Note     string `json:"note,omitempty"`    // of a grant: where the holder before stood
+	Term     int64  `json:"term,omitempty"`    // of a grant
 }
 
 // Change is one entry of the history.
@@ -107,6 +112,7 @@
 	Duties   map[string]Duty    `json:"duties,omitempty"`
 	Tokens   int64              `json:"tokens,omitempty"`   // the last that was granted
 	DutyRev  int64              `json:"duty_rev,omitempty"` // of sessions and duties; only grows
+	Orders   map[string]Order   `json:"orders,omitempty"`
 
 	at map[string]string // the member at each address; made anew where it is nil
 }
@@ -114,7 +120,7 @@
 // NewState makes that of a group which has just begun.
 func NewState() *State {
 	return &State{Members: map[string]Member{}, Answers: map[string]Answer{}, Zones: map[string]string{},
-		Sessions: map[string]Session{}, Duties: map[string]Duty{}}
+		Sessions: map[string]Session{}, Duties: map[string]Duty{}, Orders: map[string]Order{}}
 }
 
 // Apply takes one command. The same commands in the same order give the same
@@ -171,6 +177,10 @@
 			s.log(gone)
 		}
 		return Answer{Status: 200}
+	case OpOrder:
+		return s.order(c)
+	case OpProgress:
+		return s.progress(c)
 	case OpZone:
 		if c.Region == "" {
 			delete(s.Zones, c.Zone)
@@ -339,6 +349,9 @@
 	if s.Sessions == nil {
 		s.Sessions = map[string]Session{}
 	}
+	if s.Orders == nil {
+		s.Orders = map[string]Order{}
+	}
 	if s.Duties == nil {
 		s.Duties = map[string]Duty{}
 	}
--- a/internal/wal/move.go
+++ b/internal/wal/move.go
@@ -1,14 +1,17 @@
 package wal
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 )
@@ -226,6 +229,42 @@
 	return &s.report, nil
 }
 
+// ReadExport gives what an exported log owes, what was owed longest first. An
+// attempt whose outcome nobody saw may have run.
+func ReadExport(file string) ([]*Record, error) {
+	src, err := openSource(OS{}, filepath.Dir(file), filepath.Base(file), Read)
+	if err != nil {
+		return nil, err
+	}
+	defer src.f.Close()
+	if src.sound == 0 || src.kind != checkpointFile {
+		return nil, fmt.Errorf("%s: not an exported log", file)
+	}
+	src.salt = saltOf(src.owner)
+	s := newState(OS{})
+	s.addSource(src)
+	whole := s.checkpoint(src)
+	s.settle(func(int) bool { return true }, math.MaxUint64)
+	if !whole {
+		return nil, fmt.Errorf("%s: damaged", file)
+	}
+	var order []uint32
+	for i := range s.idx.used {
+		order = append(order, i)
+	}
+	slices.SortFunc(order, func(a, b uint32) int { return cmp.Compare(s.idx.at(a).seq, s.idx.at(b).seq) })
+	var recs []*Record
+	var from reader
+	for _, i := range order {
+		r, err := s.message(i, &from)
+		if err != nil {
+			return nil, err
+		}
+		recs = append(recs, r)
+	}
+	return recs, nil
+}
+
 const importing = ".importing"
 
 func writeSynced(path string, b []byte) error {
