--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -260,6 +260,25 @@
 	}
 }
 
+// TestACallThatWasEndedBeforeItCame: a link that is late may bring a call whose
+// process had died. It is not out beside the next process's; one that is, is told.
+func TestACallThatWasEndedBeforeItCame(t *testing.T) {
+	for _, left := range []bool{true, false} {
+		s := (&script{}).start()
+		s.take("m", alert, 8e6)
+		next := s.call("m")
+		if left {
+			s.add(history.Event{Kind: history.Left, Call: 77})
+		}
+		s.add(history.Event{Kind: history.Call, Call: 77, Relay: "n1", Endpoint: "f", Dest: 1, Msgs: []string{"m"}, From: 1})
+		s.at(s.t + 900*ms)
+		s.answer(next, 200, 0)
+		if v := judgeAll(s.events); (v.Counts["one-out"] > 0) == left {
+			t.Errorf("left %v: %v", left, v.Broken)
+		}
+	}
+}
+
 // TestDefectsOfADuty: a step that counts twice, and one under an older token than
 // the step before it, are caught; steps whose answer was lost are not missed.
 func TestDefectsOfADuty(t *testing.T) {
