Leave a duty's note to its work: a mark of good health put an older one back

Ruled out: the grant's note, which the next holder began with, and it said 457; the fence, whose tokens were in order.

At fault: Grant.mark in internal/duty/holder.go wrote the note as the holder knew it beside its word that the work goes well, from a timer's goroutine, while the work's own step was under way. Change: that word no longer touches the note.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -350,7 +350,8 @@
 	}
 	do(registry.Command{Op: registry.OpSession, Session: registry.Session{ID: "g", Warden: "g", TTL: time.Second}})
 	a := do(registry.Command{Op: registry.OpGrant, Duty: "d", Session: registry.Session{ID: "g"}})
-	if a = do(registry.Command{Op: registry.OpNote, Duty: "d", Token: a.Token, Good: true}); a.Status != 200 || s.Duties["d"].Fails != 0 {
+	do(registry.Command{Op: registry.OpNote, Duty: "d", Token: a.Token, Note: "7"})
+	if a = do(registry.Command{Op: registry.OpNote, Duty: "d", Token: a.Token, Good: true}); a.Status != 200 || s.Duties["d"].Fails != 0 || s.Duties["d"].Note != "7" {
 		t.Errorf("%+v, %+v", a, s.Duties["d"])
 	}
 }
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -467,10 +467,7 @@
 
 // mark tells that the work goes well.
 func (g *Grant) mark(ctx context.Context) {
-	g.h.mu.Lock()
-	note := g.Note
-	g.h.mu.Unlock()
-	if err := g.post(ctx, "note", registry.DutyRequest{Token: g.Token, Note: note, Good: true}); err != nil && ctx.Err() == nil {
+	if err := g.post(ctx, "note", registry.DutyRequest{Token: g.Token, Good: true}); err != nil && ctx.Err() == nil {
 		g.h.o.Log.Warn("duty not marked", "duty", g.Duty, "err", err)
 	}
 }
--- a/internal/registry/duties.go
+++ b/internal/registry/duties.go
@@ -78,8 +78,10 @@
 	}
 	switch c.Op {
 	case OpNote:
-		if d.Note = c.Note; c.Good {
+		if c.Good { // the work's own goroutine alone says where it stands
 			d.Fails = 0
+		} else {
+			d.Note = c.Note
 		}
 	case OpRelease:
 		d.Holder, d.Next, d.Left = "", c.Next, c.At
