Restart a fleet's relays in waves by the duty rollout

Need: a staged restart has to go on when its holder dies, with no relay restarted twice and no two waves open at once.

An order's spec is left out where a wish alone is sent: it came as null, and was refused as another.

Measured by tests: 12 relays in 4 waves, four holders dying in the middle: each restarted once, one wave open at a time; a wave that refuses too much holds the plan; pause and abort between two steps.

--- a/internal/duty/command/command.go
+++ b/internal/duty/command/command.go
@@ -18,6 +18,7 @@
 
 	"troutusher/internal/duty"
 	"troutusher/internal/registry/client"
+	"troutusher/internal/rollout"
 	"troutusher/internal/salvage"
 )
 
@@ -60,12 +61,12 @@
 				return fmt.Errorf("%w: --nodes: %w", errUsage, err)
 			}
 			defer g.Close()
-			all := map[string]duty.Work{duty.ListKeeper: duty.KeepList, duty.Counter: duty.Count(log), salvage.Duty: salvage.Work(g)}
+			all := map[string]duty.Work{duty.ListKeeper: duty.KeepList, duty.Counter: duty.Count(log), salvage.Duty: salvage.Work(g), rollout.Duty: rollout.Work(g)}
 			work := map[string]duty.Work{}
 			for _, d := range duties {
 				w, ok := all[d]
 				if !ok {
-					return fmt.Errorf("%w: --duties: %q is unknown; list-keeper, salvage and count are known", errUsage, d)
+					return fmt.Errorf("%w: --duties: %q is unknown; list-keeper, salvage, rollout and count are known", errUsage, d)
 				}
 				work[d] = w
 			}
@@ -87,9 +88,10 @@
 	c.Flags().StringSliceVar(&nodes, "nodes", []string{"127.0.0.1:7800"}, "nodes of the list service")
 	c.Flags().StringVar(&name, "name", host, "this warden, for people")
 	c.Flags().DurationVar(&ttl, "ttl", 3*time.Second, "time to live of its session: another takes over so long after it was last heard of")
-	c.Flags().StringSliceVar(&duties, "duties", []string{duty.ListKeeper, salvage.Duty}, "what it may hold")
+	c.Flags().StringSliceVar(&duties, "duties", []string{duty.ListKeeper, salvage.Duty, rollout.Duty}, "what it may hold")
 	c.Flags().StringVar(&operator, "operator", "", "where /v1/metrics is served; empty for nowhere")
 	c.Flags().StringVar(&form, "log", "text", "text or json, on standard error")
+	c.AddCommand(runnerCommand(errOut))
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
 	c.SetArgs(args)
 	c.SetOut(out)
@@ -105,3 +107,44 @@
 		return Failed
 	}
 }
+
+// runnerCommand runs one relay as a process of this machine and restarts it when
+// the duty rollout asks.
+func runnerCommand(errOut io.Writer) *cobra.Command {
+	var listen, folder string
+	l := &rollout.Local{}
+	c := &cobra.Command{Use: "runner [flags] -- PROGRAM [ARGUMENTS]", Short: "Run one relay, and restart it once for each step of a rollout",
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				return fmt.Errorf("%w: a program is wanted", errUsage)
+			}
+			return nil
+		},
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := os.MkdirAll(folder, 0o700); err != nil {
+				return fmt.Errorf("%w: --folder: %w", errUsage, err)
+			}
+			ln, err := net.Listen("tcp", listen)
+			if err != nil {
+				return fmt.Errorf("%w: --listen: %w", errUsage, err)
+			}
+			l.Command = args
+			if _, err := l.Restart(c.Context()); err != nil {
+				ln.Close()
+				return err
+			}
+			defer l.Stop()
+			log := slog.New(slog.NewTextHandler(errOut, nil))
+			s := &http.Server{Handler: (&rollout.Runner{Folder: folder, Program: l, Log: log}).Handler(), ReadHeaderTimeout: 5 * time.Second}
+			go s.Serve(ln) // ends by Close
+			defer s.Close()
+			log.Info("runner serves", "listen", ln.Addr().String())
+			<-c.Context().Done()
+			return nil
+		}}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:7900", "where the wardens ask")
+	c.Flags().StringVar(&folder, "folder", "runner-data", "folder that lasts: which step was done, and the highest token")
+	c.Flags().DurationVar(&l.Take, "take", 2*time.Second, "that the next process has to take over")
+	c.Flags().DurationVar(&l.Term, "term", 4*time.Second, "that the one before has to end")
+	return c
+}
--- a/internal/registry/command/ctl.go
+++ b/internal/registry/command/ctl.go
@@ -18,6 +18,7 @@
 	"troutusher/internal/discovery"
 	"troutusher/internal/registry"
 	"troutusher/internal/registry/client"
+	"troutusher/internal/rollout"
 )
 
 // ctl is what all commands of troutctl share.
@@ -36,7 +37,7 @@
 	root.PersistentFlags().StringSliceVar(&x.nodes, "nodes", []string{"127.0.0.1:7800"}, "nodes of the group")
 	root.PersistentFlags().BoolVar(&x.json, "json", false, "JSON in place of a table")
 	root.PersistentFlags().DurationVar(&x.wait, "wait", 10*time.Second, "for an answer")
-	root.AddCommand(x.members(), x.status(), x.snapshot(), x.lapses(), x.zones(), x.duties(), x.salvage())
+	root.AddCommand(x.members(), x.status(), x.snapshot(), x.lapses(), x.zones(), x.duties(), x.salvage(), x.rollout())
 	root.AddCommand(more...)
 	return run(ctx, root, args, out, errOut)
 }
@@ -240,9 +241,6 @@
 func (x *ctl) salvage() *cobra.Command {
 	const kind = "salvage"
 	c := &cobra.Command{Use: kind, Short: "See what a lost relay owed to its end"}
-	put := func(c *cobra.Command, name string, o registry.Order) error {
-		return x.change(c, http.MethodPut, registry.OrdersPath+"/"+kind+"/"+url.PathEscape(name), o)
-	}
 	var spec struct {
 		Folder string `json:"folder"`
 		DiskMB int    `json:"disk_mb"`
@@ -255,31 +253,84 @@
 		if err != nil {
 			return err
 		}
-		return put(c, args[0], registry.Order{Spec: text, Wish: registry.WishRun})
+		return x.order(c, kind, args[0], registry.Order{Spec: text, Wish: registry.WishRun})
 	}}
 	start.Flags().StringVar(&spec.Folder, "folder", "", "its state folder, on the machine of the wardens")
 	start.Flags().IntVar(&spec.DiskMB, "disk-mb", 3, "its disk_mb")
-	wish := func(use, short, wish string) *cobra.Command {
-		return &cobra.Command{Use: use + " NAME", Short: short, Args: exactly(1), RunE: func(c *cobra.Command, args []string) error {
-			return put(c, args[0], registry.Order{Wish: wish})
-		}}
-	}
-	status := &cobra.Command{Use: "status", Short: "How far each has come", Args: exactly(0), RunE: func(c *cobra.Command, _ []string) error {
-		var all []registry.Order
-		if _, err := x.ask(c, http.MethodGet, registry.OrdersPath, nil, &all); err != nil {
+	c.AddCommand(start, x.orders(kind), x.wish(kind, "pause", "Leave it as it is for now", registry.WishPause), x.wish(kind, "resume", "Go on", registry.WishRun),
+		x.wish(kind, "abort", "Call it off, if its folder was not moved yet", registry.WishAbort))
+	return c
+}
+
+// rollout gives orders to the duty of that name and follows them.
+func (x *ctl) rollout() *cobra.Command {
+	const kind = "rollout"
+	c := &cobra.Command{Use: kind, Short: "Restart a fleet's relays in waves"}
+	start := &cobra.Command{Use: "start NAME PLAN.toml", Short: "Begin a plan; deploy/rollout.toml documents each key", Args: exactly(2), RunE: func(c *cobra.Command, args []string) error {
+		text, err := os.ReadFile(args[1])
+		if err != nil {
+			return usageError{err}
+		}
+		plan, err := rollout.ParsePlan(text)
+		if err != nil {
+			return usageError{fmt.Errorf("%s: %w", args[1], err)}
+		}
+		spec, err := json.Marshal(plan)
+		if err != nil {
 			return err
 		}
-		return x.show(c, all, func(w io.Writer) {
-			fmt.Fprintln(w, "NAME\tWISH\tDONE\tSAYS\tPROGRESS")
+		return x.order(c, kind, args[0], registry.Order{Spec: spec, Wish: registry.WishRun})
+	}}
+	c.AddCommand(start, x.orders(kind), x.wish(kind, "pause", "Rest after the step that is being done", registry.WishPause), x.wish(kind, "resume", "Go on", registry.WishRun),
+		x.wish(kind, "abort", "End it after the step that is being done", registry.WishAbort))
+	return c
+}
+
+func (x *ctl) order(c *cobra.Command, kind, name string, o registry.Order) error {
+	return x.change(c, http.MethodPut, registry.OrdersPath+"/"+kind+"/"+url.PathEscape(name), o)
+}
+
+func (x *ctl) wish(kind, use, short, wish string) *cobra.Command {
+	return &cobra.Command{Use: use + " NAME", Short: short, Args: exactly(1), RunE: func(c *cobra.Command, args []string) error {
+		return x.order(c, kind, args[0], registry.Order{Wish: wish})
+	}}
+}
+
+// orders shows how far the orders of a kind have come; with --follow until all
+// are done.
+func (x *ctl) orders(kind string) *cobra.Command {
+	var follow bool
+	c := &cobra.Command{Use: "status", Short: "How far each has come", Args: exactly(0), RunE: func(c *cobra.Command, _ []string) error {
+		for said := ""; ; {
+			var all, mine []registry.Order
+			if _, err := x.ask(c, http.MethodGet, registry.OrdersPath, nil, &all); err != nil {
+				return err
+			}
+			done, now := true, ""
 			for _, o := range all {
 				if o.Kind == kind {
-					fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\n", o.Name, o.Wish, o.Done, o.Says, o.Progress)
+					mine = append(mine, o)
+					done = done && o.Done
+					now += fmt.Sprintf("%s\t%s\t%v\t%s\t%s\n", o.Name, o.Wish, o.Done, o.Says, o.Progress)
 				}
 			}
-		})
+			if now != said || said == "" {
+				said = now
+				if err := x.show(c, mine, func(w io.Writer) { fmt.Fprint(w, "NAME\tWISH\tDONE\tSAYS\tPROGRESS\n"+now) }); err != nil {
+					return err
+				}
+			}
+			if !follow || done {
+				return nil
+			}
+			select {
+			case <-time.After(500 * time.Millisecond):
+			case <-c.Context().Done():
+				return nil
+			}
+		}
 	}}
-	c.AddCommand(start, status, wish("pause", "Leave it as it is for now", registry.WishPause), wish("resume", "Go on", registry.WishRun),
-		wish("abort", "Call it off, if its folder was not moved yet", registry.WishAbort))
+	c.Flags().BoolVar(&follow, "follow", false, "until all are done")
 	return c
 }
 
--- a/internal/registry/orders.go
+++ b/internal/registry/orders.go
@@ -13,8 +13,8 @@
 type Order struct {
 	Kind     string          `json:"kind"`
 	Name     string          `json:"name"`
-	Spec     json.RawMessage `json:"spec"` // as it was given; it does not change
-	Wish     string          `json:"wish"` // run, pause or abort
+	Spec     json.RawMessage `json:"spec,omitempty"` // as it was given; it does not change
+	Wish     string          `json:"wish"`           // run, pause or abort
 	Progress json.RawMessage `json:"progress,omitempty"`
 	Says     string          `json:"says,omitempty"` // for people
 	Done     bool            `json:"done"`
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,283 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"troutusher/internal/duty"
+	"troutusher/internal/loopback"
+	"troutusher/internal/registry"
+	"troutusher/internal/registry/client"
+)
+
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+func waitFor(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("never came: %s", what)
+}
+
+// fleet is relays that are not there, each with a runner and an operator address.
+type fleet struct {
+	t    *testing.T
+	addr string // of the list service
+	plan Plan
+
+	mu       sync.Mutex
+	restarts map[string]int
+	open     map[int]bool // waves in which a relay is being restarted
+	most     int          // of them at once
+	sick     map[string]bool
+	slow     time.Duration
+}
+
+// Restart is Program's.
+func (f *fleet) restart(name string, wave int) (int, error) {
+	f.mu.Lock()
+	f.restarts[name]++
+	f.open[wave] = true
+	f.most = max(f.most, len(f.open))
+	n := f.restarts[name]
+	f.mu.Unlock()
+	time.Sleep(f.slow)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, wave)
+	return n, nil
+}
+
+type program func() (int, error)
+
+func (p program) Restart(context.Context) (int, error) { return p() }
+
+func newFleet(t *testing.T, relays int, waves ...int) *fleet {
+	t.Helper()
+	c := registry.DefaultConfig()
+	c.Data, c.Listen, c.Raft = filepath.Join(t.TempDir(), "data"), loopback.Free(), loopback.Free()
+	c.Peers = []registry.Peer{{ID: c.ID, Raft: c.Raft, HTTP: c.Listen}}
+	n, err := registry.Start(&c, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	f := &fleet{t: t, addr: c.Listen, restarts: map[string]int{}, open: map[int]bool{}, sick: map[string]bool{}, slow: 20 * time.Millisecond,
+		plan: Plan{Waves: waves, AtOnce: 2, Ready: 5, Settle: 0.3, Within: 3, Refused: 0.1, Pending: 10}}
+	for i := range relays {
+		name := fmt.Sprint("n", i)
+		wave, end := 0, 0
+		for _, size := range waves {
+			if end += size; i >= end {
+				wave++
+			}
+		}
+		r := &Runner{Folder: t.TempDir(), Log: quiet(), Program: program(func() (int, error) { return f.restart(name, wave) })}
+		runner := httptest.NewServer(r.Handler())
+		t.Cleanup(runner.Close)
+		operator := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if q.URL.Path == "/v1/metrics" {
+				refused := 0
+				if f.sick[name] {
+					refused = 900
+				}
+				fmt.Fprintf(w, "# TYPE app_pending gauge\napp_pending 4\napp_completed{lane=\"a\"} 1000\napp_rejected{lane=\"a\"} %d\n", refused)
+			}
+		}))
+		t.Cleanup(operator.Close)
+		f.plan.Relays = append(f.plan.Relays, Relay{Name: name, Runner: strings.TrimPrefix(runner.URL, "http://"), Operator: strings.TrimPrefix(operator.URL, "http://")})
+	}
+	return f
+}
+
+func (f *fleet) client() *client.Client {
+	c, err := client.New([]string{f.addr}, 1, quiet())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(c.Close)
+	return c
+}
+
+func (f *fleet) want(wish string, spec bool) {
+	f.t.Helper()
+	o := registry.Order{Wish: wish}
+	if spec {
+		text, err := json.Marshal(f.plan)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		o.Spec = text
+	}
+	if _, err := f.client().Do(f.t.Context(), http.MethodPut, registry.OrdersPath+"/"+Duty+"/all", o, nil); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) order() (o registry.Order, p Progress) {
+	f.t.Helper()
+	var all []registry.Order
+	if _, err := f.client().Do(context.Background(), http.MethodGet, registry.OrdersPath, nil, &all); err != nil {
+		f.t.Fatal(err)
+	}
+	if len(all) == 0 {
+		return o, p
+	}
+	if o = all[0]; len(o.Progress) > 0 {
+		if err := json.Unmarshal(o.Progress, &p); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	return o, p
+}
+
+// warden runs one; cut ends its part at once, as a kill does: nothing is given up.
+func (f *fleet) warden(name string) (cut func()) {
+	dead := make(chan struct{})
+	w := Work(f.client())
+	ctx, cancel := context.WithCancel(f.t.Context())
+	c := f.client()
+	done := make(chan struct{})
+	work := func(ctx context.Context, g *duty.Grant) error {
+		inner, stop := context.WithCancel(ctx)
+		defer stop()
+		go func() {
+			select {
+			case <-dead:
+				stop()
+			case <-inner.Done():
+			}
+		}()
+		err := w(inner, g)
+		select {
+		case <-dead:
+			<-ctx.Done() // it says nothing more, and its session runs out
+		default:
+		}
+		return err
+	}
+	go func() {
+		defer close(done)
+		if err := duty.Run(ctx, duty.Options{Client: c, Warden: name, TTL: 600 * time.Millisecond, Duties: map[string]duty.Work{Duty: work}, Log: quiet()}); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	f.t.Cleanup(func() { cancel(); <-done })
+	return sync.OnceFunc(func() { close(dead); cancel() })
+}
+
+func (f *fleet) once(n int) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.plan.Relays[:n] {
+		if f.restarts[r.Name] != 1 {
+			f.t.Errorf("%s was restarted %d times", r.Name, f.restarts[r.Name])
+		}
+	}
+	if len(f.restarts) != n || f.most > 1 {
+		f.t.Errorf("%d relays restarted, want %d; %d waves open at once", len(f.restarts), n, f.most)
+	}
+}
+
+// Every relay is restarted once, wave after wave, though holders die in the middle.
+func TestEachOnceThoughHoldersDie(t *testing.T) {
+	f := newFleet(t, 12, 1, 3, 4)
+	f.slow = 60 * time.Millisecond
+	f.want(registry.WishRun, true)
+	for k := range 4 {
+		cut := f.warden(fmt.Sprint("w-", k))
+		_, before := f.order()
+		waitFor(t, "some more", func() bool { o, p := f.order(); return o.Done || len(p.Done) > len(before.Done) })
+		cut()
+	}
+	f.warden("last")
+	waitFor(t, "the end", func() bool { o, _ := f.order(); return o.Done })
+	f.once(12)
+}
+
+// A wave that does not settle holds the plan: no further wave is begun until it does.
+func TestAWaveThatDoesNotSettle(t *testing.T) {
+	f := newFleet(t, 5, 2)
+	f.sick["n1"] = true
+	f.want(registry.WishRun, true)
+	f.warden("w")
+	waitFor(t, "word of it", func() bool { o, _ := f.order(); return strings.Contains(o.Says, "does not settle: n1 refused") })
+	f.once(2)
+	f.mu.Lock()
+	f.sick["n1"] = false
+	f.mu.Unlock()
+	waitFor(t, "the end", func() bool { o, _ := f.order(); return o.Done })
+	f.once(5)
+}
+
+// Paused, a plan rests between two steps; called off, it ends there.
+func TestPauseAndAbort(t *testing.T) {
+	f := newFleet(t, 6, 2)
+	f.slow = 200 * time.Millisecond
+	f.want(registry.WishRun, true)
+	f.warden("w")
+	waitFor(t, "the first wave", func() bool { _, p := f.order(); return len(p.Done) >= 2 })
+	f.want(registry.WishPause, false)
+	waitFor(t, "rest", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return len(f.open) == 0 })
+	_, at := f.order()
+	f.want(registry.WishAbort, false)
+	waitFor(t, "the end", func() bool { o, _ := f.order(); return o.Done && strings.Contains(o.Says, "called off") })
+	if _, p := f.order(); len(p.Done) > len(at.Done)+f.plan.AtOnce || len(p.Done) == 6 {
+		t.Errorf("went on to %d relays", len(p.Done))
+	}
+}
+
+// A runner does a step once, whoever asks, and refuses a token older than it saw.
+func TestRunner(t *testing.T) {
+	n := 0
+	r := &Runner{Folder: t.TempDir(), Log: quiet(), Program: program(func() (int, error) { n++; return n, nil })}
+	for _, x := range []struct {
+		step Step
+		want int
+		err  error
+	}{{Step{"a", 5}, 1, nil}, {Step{"a", 5}, 1, nil}, {Step{"a", 7}, 1, nil}, {Step{"b", 6}, 1, duty.ErrFenced}, {Step{"b", 7}, 2, nil}} {
+		if _, err := r.restart(t.Context(), x.step); !errors.Is(err, x.err) || n != x.want {
+			t.Errorf("%+v: %v, %d restarts", x.step, err, n)
+		}
+	}
+	again := &Runner{Folder: r.Folder, Log: quiet(), Program: r.Program} // the runner itself was restarted
+	if _, err := again.restart(t.Context(), Step{"b", 8}); err != nil || n != 2 {
+		t.Errorf("after its own restart: %v, %d", err, n)
+	}
+}
+
+func TestPlanErrorsNameTheKey(t *testing.T) {
+	const relay = "[[relays]]\nname = \"n1\"\nrunner = \"h:1\"\noperator = \"h:2\"\n"
+	if _, err := ParsePlan([]byte(relay)); err != nil {
+		t.Error(err)
+	}
+	for text, want := range map[string]string{
+		"":                                       "relays: none",
+		"wave = 1\n" + relay:                     "line 1: wave: unknown key",
+		"waves = [2]\n" + relay:                  "waves[0]: 2",
+		"ready = 0.0\n" + relay:                  "ready: 0",
+		"at_once = \"x\"\n" + relay:              "at_once",
+		relay + relay:                            "relays[1].name",
+		"[[relays]]\nname=\"a\"\nrunner=\"x\"\n": "relays[0].",
+	} {
+		if _, err := ParsePlan([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
