Play a rollout over all relays in the lab while its holders die

Need: the staged restart is to be shown with real relays, wardens and nodes, and faults between them.

A plan looks at a relay through its runner, which knows the present process: two processes of one relay cannot share an operator address (seen at first: 24 times 'operator: listen: address already in use'). The lab's addresses are drawn by an atomic count, since faults draw them too.

--- a/internal/duty/command/command.go
+++ b/internal/duty/command/command.go
@@ -112,6 +112,7 @@
 // the duty rollout asks.
 func runnerCommand(errOut io.Writer) *cobra.Command {
 	var listen, folder string
+	var operators []string
 	l := &rollout.Local{}
 	c := &cobra.Command{Use: "runner [flags] -- PROGRAM [ARGUMENTS]", Short: "Run one relay, and restart it once for each step of a rollout",
 		Args: func(_ *cobra.Command, args []string) error {
@@ -128,7 +129,11 @@
 			if err != nil {
 				return fmt.Errorf("%w: --listen: %w", errUsage, err)
 			}
-			l.Command = args
+			if len(operators) != 2 {
+				ln.Close()
+				return fmt.Errorf("%w: --operators: two are wanted", errUsage)
+			}
+			l.Command, l.Addrs = args, [2]string{operators[0], operators[1]}
 			if _, err := l.Restart(c.Context()); err != nil {
 				ln.Close()
 				return err
@@ -144,6 +149,7 @@
 		}}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:7900", "where the wardens ask")
 	c.Flags().StringVar(&folder, "folder", "runner-data", "folder that lasts: which step was done, and the highest token")
+	c.Flags().StringSliceVar(&operators, "operators", []string{"127.0.0.1:7700", "127.0.0.1:7701"}, "operator addresses of the relay's processes, by turns")
 	c.Flags().DurationVar(&l.Take, "take", 2*time.Second, "that the next process has to take over")
 	c.Flags().DurationVar(&l.Term, "term", 4*time.Second, "that the one before has to end")
 	return c
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -60,6 +60,8 @@
 		return r.each(s.Targets, func(i int) error { return r.strikeEndpoint(ctx, s, i) })
 	case "partner":
 		r.strikePartners(ctx, s)
+	case "fleet":
+		return r.strikeRollout(ctx)
 	case "warden":
 		return r.group.strikeWardens(ctx, s)
 	case "node", "registration", "group":
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -91,7 +92,7 @@
 	usual   map[*link.Link]link.Faults
 	fleet   *fleet
 	ip      string
-	port    int
+	port    atomic.Int64
 	began   time.Time // of the load
 	wg      sync.WaitGroup
 	served  sync.WaitGroup // endpoints' goroutines
@@ -128,7 +129,7 @@
 	}
 	whole, stop := context.WithCancel(context.Background())
 	defer stop()
-	r := &run{opts: o, scen: o.Scenario, seed: o.Seed, ctx: whole, rec: rec, usual: map[*link.Link]link.Faults{}, ip: ip, port: firstPort,
+	r := &run{opts: o, scen: o.Scenario, seed: o.Seed, ctx: whole, rec: rec, usual: map[*link.Link]link.Faults{}, ip: ip,
 		fleet: buildFleet(o.Scenario, o.Seed), lates: hdrhistogram.New(1, 60_000_000, 3), stop: stop}
 	plan := Plan(o.Scenario, o.Seed)
 	err = r.play(ctx, plan)
@@ -195,8 +196,7 @@
 
 // address gives one more address that no other process uses.
 func (r *run) address() string {
-	r.port++
-	return fmt.Sprintf("%s:%d", r.ip, r.port)
+	return fmt.Sprintf("%s:%d", r.ip, firstPort+r.port.Add(1))
 }
 
 // fail notes the first error that keeps the run from being one, and stops it.
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -21,16 +21,17 @@
 
 // relay is one relay under test, over all of its processes.
 type relay struct {
-	run    *run
-	num    int
-	name   string
-	zone   string
-	listen string
-	dir    string // of its machine
-	agent  lister
-	door   *link.Link   // its clients come through here
-	links  []*link.Link // to each endpoint
-	log    *os.File
+	run      *run
+	num      int
+	name     string
+	zone     string
+	listen   string
+	operator string // empty where the scenario has no wardens
+	dir      string // of its machine
+	agent    lister
+	door     *link.Link   // its clients come through here
+	links    []*link.Link // to each endpoint
+	log      *os.File
 
 	agentProc *process.Proc // where the list service is of real processes
 	agentLog  *os.File
@@ -52,7 +53,7 @@
 		"name": r.name, "listen": r.listen, "discovery": r.agent.Addr(), "state": r.state(),
 		"seed":   fmt.Sprintf("%016x", seeded(r.run.seed, "relay "+r.name).Uint64()),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets, "disk_mb": s.Fleet.DiskMB},
-		"known":  known, "promise": s.Fleet.Promise,
+		"known":  known, "operator": r.operator, "promise": s.Fleet.Promise,
 		"settings": model.Settings(model.Fleet{Relays: s.Fleet.Relays, Slots: s.Fleet.Slots, Held: s.Fleet.Held, Zones: s.Fleet.Zones,
 			Zone: r.num % len(s.Fleet.Zones), Rank: r.num, Batch: s.Fleet.Batch}, r.run.world.Rules),
 	}, "", " ")
@@ -72,6 +73,12 @@
 
 // start runs a new process of the relay, with what its folder holds.
 func (r *relay) start() error {
+	if r.run.scen.Registry.Wardens > 0 { // each process has its own
+		addr := r.run.address()
+		r.mu.Lock()
+		r.operator = addr
+		r.mu.Unlock()
+	}
 	known, err := r.configure()
 	if err != nil {
 		return err
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -106,6 +106,7 @@
 	Rate   float64  `toml:"rate"`   // turnaway, throttle
 	Kinds  []string `toml:"kinds"`  // partners of these kinds alone
 	Node   string   `toml:"node"`   // node-*: leader, follower or all, in place of a draw
+	Duty   string   `toml:"duty"`   // warden-*: whose holder is struck; count where it is left out
 }
 
 // Kinds of fault, and whom each strikes.
@@ -118,7 +119,7 @@
 	"drain":    "endpoint",
 	"turnaway": "discovery", "quiet": "discovery",
 	"node-kill": "node", "node-pause": "node", "node-cut": "node", "lapse": "registration", "restore": "group",
-	"warden-kill": "warden", "warden-pause": "warden", "warden-cut": "warden",
+	"warden-kill": "warden", "warden-pause": "warden", "warden-cut": "warden", "rollout": "fleet",
 }
 
 // Damage are the kinds that spoil a file while its relay is down.
@@ -394,7 +395,7 @@
 			return "cells", fmt.Sprintf("%d; from 0 to %d is allowed", n, s.Part.Destinations-1)
 		}
 	}
-	if target == "warden" && s.Registry.Wardens == 0 {
+	if (target == "warden" || target == "fleet") && s.Registry.Wardens == 0 {
 		return "kind", f.Kind + " wants wardens: registry.wardens is 0"
 	}
 	if f.Node == "holder" && target != "warden" {
--- a/internal/lab/wardens.go
+++ b/internal/lab/wardens.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -21,6 +22,8 @@
 	"troutusher/internal/lab/process"
 	"troutusher/internal/lab/scenario"
 	"troutusher/internal/registry"
+	"troutusher/internal/rollout"
+	"troutusher/internal/salvage"
 )
 
 // warden is one warden, over all of its processes. It asks each node through a
@@ -67,7 +70,7 @@
 		nodes = append(nodes, l.Addr())
 	}
 	p, err := process.Start(w.name, r.opts.Warden, []string{"--nodes", strings.Join(nodes, ","), "--name", w.name,
-		"--ttl", scenario.Secs(r.scen.Registry.WardenTTL).String(), "--duties", duty.ListKeeper + "," + duty.Counter}, nil, w.log)
+		"--ttl", scenario.Secs(r.scen.Registry.WardenTTL).String(), "--duties", strings.Join([]string{duty.ListKeeper, duty.Counter, rollout.Duty, salvage.Duty}, ",")}, nil, w.log)
 	if err != nil {
 		return err
 	}
@@ -119,7 +122,7 @@
 		}
 		for _, d := range l.Duties {
 			for i, w := range g.wardens {
-				if d.Name == duty.Counter && d.Holder != "" && d.Warden == w.name {
+				if d.Name == cmp.Or(s.Fault.Duty, duty.Counter) && d.Holder != "" && d.Warden == w.name {
 					targets = []int{i}
 				}
 			}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -37,7 +37,7 @@
 type Relay struct {
 	Name     string `toml:"name" json:"name"`
 	Runner   string `toml:"runner" json:"runner"`     // host and port
-	Operator string `toml:"operator" json:"operator"` // of the relay's operator address
+	Operator string `toml:"operator" json:"operator"` // of the relay's operator address; where it is left out, the runner tells
 }
 
 // ParsePlan reads a plan; what it leaves out is as below. Errors name line and key.
@@ -89,6 +89,9 @@
 		}
 		seen[r.Name] = true
 		for key, addr := range map[string]string{"runner": r.Runner, "operator": r.Operator} {
+			if key == "operator" && addr == "" {
+				continue
+			}
 			if _, _, err := net.SplitHostPort(addr); err != nil {
 				return fmt.Errorf("plan: relays[%d].%s: %w", i, key, err)
 			}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -266,9 +267,10 @@
 
 // view reads readiness and figures of a relay.
 func (w *worker) view(ctx context.Context, r Relay) (v View, err error) {
-	v.Ready = w.ask(ctx, http.MethodGet, "http://"+r.Operator+"/v1/readyz", nil, nil) == nil
+	at := cmp.Or(r.Operator, r.Runner)
+	v.Ready = w.ask(ctx, http.MethodGet, "http://"+at+"/v1/readyz", nil, nil) == nil
 	var text []byte
-	if err := w.ask(ctx, http.MethodGet, "http://"+r.Operator+"/v1/metrics", nil, &text); err != nil {
+	if err := w.ask(ctx, http.MethodGet, "http://"+at+"/v1/metrics", nil, &text); err != nil {
 		return v, err
 	}
 	lines := bufio.NewScanner(bytes.NewReader(text))
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -63,6 +63,8 @@
 
 type program func() (int, error)
 
+func (program) Operator() string { return "" }
+
 func (p program) Restart(context.Context) (int, error) { return p() }
 
 func newFleet(t *testing.T, relays int, waves ...int) *fleet {
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/http/httputil"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +39,7 @@
 // Program starts and stops a relay.
 type Program interface {
 	Restart(ctx context.Context) (pid int, err error)
+	Operator() string // of the present process; two of one relay cannot share one
 }
 
 // Runner restarts one relay, each step once. Its folder lasts: which step was
@@ -133,6 +136,12 @@
 		d, err := r.restart(context.WithoutCancel(q.Context()), s)
 		say(w, d, err)
 	})
+	// The plan looks at a relay through its runner, whichever process is the present one.
+	forward := &httputil.ReverseProxy{Rewrite: func(q *httputil.ProxyRequest) {
+		q.Out.URL.Scheme, q.Out.URL.Host = "http", r.Program.Operator()
+	}, ErrorLog: slog.NewLogLogger(r.Log.Handler(), slog.LevelDebug)}
+	mux.Handle("GET /v1/readyz", forward)
+	mux.Handle("GET /v1/metrics", forward)
 	return mux
 }
 
@@ -143,12 +152,17 @@
 	Env     []string
 	Take    time.Duration // that the next process has to take over
 	Term    time.Duration // that the old one has to end
+	Addrs   [2]string     // operator addresses, by turns: ROUTER_OPERATOR of each process
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	end chan struct{}
+	at  atomic.Int32 // in Addrs
 }
 
+// Operator is Program's.
+func (l *Local) Operator() string { return l.Addrs[l.at.Load()] }
+
 // Restart starts the next process and ends the one before.
 func (l *Local) Restart(ctx context.Context) (int, error) {
 	l.mu.Lock()
@@ -158,7 +172,8 @@
 	}
 	old, oldEnd := l.cmd, l.end
 	cmd := exec.Command(l.Command[0], l.Command[1:]...)
-	cmd.Env = append(os.Environ(), l.Env...)
+	next := 1 - l.at.Load()
+	cmd.Env = append(append(os.Environ(), l.Env...), "ROUTER_OPERATOR="+l.Addrs[next])
 	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
 	if err := cmd.Start(); err != nil {
 		return 0, fmt.Errorf("runner: %w", err)
@@ -169,6 +184,7 @@
 		close(end)
 	}()
 	l.cmd, l.end = cmd, end
+	l.at.Store(next)
 	if old == nil {
 		return cmd.Process.Pid, nil
 	}
@@ -178,6 +194,7 @@
 	case <-t.C:
 	case <-end:
 		l.cmd, l.end = old, oldEnd
+		l.at.Store(1 - next)
 		return 0, errors.New("runner: the next process ended at once; the one before serves on")
 	case <-ctx.Done():
 	}
