Let all wardens be there before a test looks how they share duties

Cause: a warden that has not seen the others' sessions yet holds that all duties are its share, and takes them; none is moved without a reason afterwards, as the design says. Ruled out: the share itself, which is worked out from the sessions seen.

Change: the test holds the duties back until the three sessions are open.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -446,12 +446,23 @@
 	_, addr := startNode(t, nil)
 	var began sync.Map
 	work := map[string]Work{}
+	c := newClient(t, addr)
+	hold := func(off bool) {
+		for name := range work {
+			if _, err := c.Do(t.Context(), http.MethodPost, registry.DutiesPath+"/"+name+"/hold", registry.DutyRequest{Off: off}, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
 	for i := range 30 {
 		work[fmt.Sprint("d-", i)] = until(&began, "x")
 	}
+	hold(true) // until all three are there: one that is alone takes all
 	for i := range 3 {
 		warden(t, addr, fmt.Sprint("w-", i), 2*time.Second, work)
 	}
+	waitFor(t, "three wardens", func() bool { return len(duties(t, addr).Sessions) == 3 })
+	hold(false)
 	waitFor(t, "all are held", func() bool {
 		l := duties(t, addr)
 		return len(l.Duties) == 30 && !slices.ContainsFunc(l.Duties, func(d registry.Duty) bool { return d.Holder == "" })
