Finish a move of a log that was cut after its file had its name

Need: found on reading the change again. An export that was cut between the file's name and the end of the log was refused when asked for again ('file exists'), and the folder stayed in the middle of its move. And salvage, where the holder died between the move and its word of it, waited for a relay that had come back and run: its messages got no end in time.

Change: FinishExport takes away what the fence says is in the file; Export asks it first and writes over no other file; salvage goes on with a file of its name whether or not the folder is in use. The benches keep their rows in one way.

Measured: tests of both cuts, and of a file of something else that is left as it is.

--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -502,19 +502,12 @@
 			if o.Registry, err = find(program, "troutregistry", "registry"); err != nil {
 				return err
 			}
-			if o.Out == "" {
-				o.Out = filepath.Join("lab-out", "bench-registry-"+time.Now().Format("20060102T150405"))
-			}
-			o.Say = func(format string, args ...any) { fmt.Fprintf(c.OutOrStdout(), format+"\n", args...) }
+			o.Out, o.Say = benchOut(c, o.Out, "registry")
 			rows, err := lab.BenchRegistry(c.Context(), o)
 			if err != nil {
 				return err
 			}
-			text, err := json.MarshalIndent(rows, "", " ")
-			if err != nil {
-				return fmt.Errorf("bench: %w", err)
-			}
-			return os.WriteFile(filepath.Join(o.Out, "bench.json"), text, 0o644)
+			return keepRows(o.Out, rows)
 		}}
 	r.Flags().StringVar(&program, "registry", "", "its program (default: troutregistry beside this one)")
 	r.Flags().StringVar(&o.Out, "out", "", "folder (default: lab-out/bench-registry-TIME)")
@@ -541,19 +534,12 @@
 			if o.Warden, err = find(warden, "troutwarden", "warden"); err != nil {
 				return err
 			}
-			if o.Out == "" {
-				o.Out = filepath.Join("lab-out", "bench-duty-"+time.Now().Format("20060102T150405"))
-			}
-			o.Say = func(format string, args ...any) { fmt.Fprintf(c.OutOrStdout(), format+"\n", args...) }
+			o.Out, o.Say = benchOut(c, o.Out, "duty")
 			rows, err := lab.BenchDuty(c.Context(), o)
 			if err != nil {
 				return err
 			}
-			text, err := json.MarshalIndent(rows, "", " ")
-			if err != nil {
-				return fmt.Errorf("bench: %w", err)
-			}
-			return os.WriteFile(filepath.Join(o.Out, "bench.json"), text, 0o644)
+			return keepRows(o.Out, rows)
 		}}
 	d.Flags().StringVar(&program, "registry", "", "the list service's program (default: troutregistry beside this one)")
 	d.Flags().StringVar(&warden, "warden", "", "the wardens' program (default: troutwarden beside this one)")
@@ -569,19 +555,12 @@
 	o := lab.WALBenchOptions{}
 	w := &cobra.Command{Use: "wal", Short: "The relay's log: starts, writes, stalls, beside the log before it", Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
-			if o.Out == "" {
-				o.Out = filepath.Join("lab-out", "bench-wal-"+time.Now().Format("20060102T150405"))
-			}
-			o.Say = func(format string, args ...any) { fmt.Fprintf(c.OutOrStdout(), format+"\n", args...) }
+			o.Out, o.Say = benchOut(c, o.Out, "wal")
 			rows, err := lab.BenchWAL(c.Context(), o)
 			if err != nil {
 				return err
 			}
-			text, err := json.MarshalIndent(rows, "", " ")
-			if err != nil {
-				return fmt.Errorf("bench: %w", err)
-			}
-			return os.WriteFile(filepath.Join(o.Out, "bench.json"), text, 0o644)
+			return keepRows(o.Out, rows)
 		}}
 	w.Flags().StringVar(&o.Out, "out", "", "folder, on the disk that is measured (default: lab-out/bench-wal-TIME)")
 	w.Flags().IntSliceVar(&o.Owed, "owed", []int{10000, 100000, 1000000}, "messages owed at a start")
@@ -590,3 +569,19 @@
 	w.Flags().DurationVar(&o.Span, "span", 3*time.Second, "of each play of writes")
 	return w
 }
+
+// benchOut gives a bench's folder and where it says its rows.
+func benchOut(c *cobra.Command, out, name string) (string, func(string, ...any)) {
+	if out == "" {
+		out = filepath.Join("lab-out", "bench-"+name+"-"+time.Now().Format("20060102T150405"))
+	}
+	return out, func(format string, args ...any) { fmt.Fprintf(c.OutOrStdout(), format+"\n", args...) }
+}
+
+func keepRows(out string, rows []lab.Spread) error {
+	text, err := json.MarshalIndent(rows, "", " ")
+	if err != nil {
+		return fmt.Errorf("bench: %w", err)
+	}
+	return os.WriteFile(filepath.Join(out, "bench.json"), text, 0o644)
+}
--- a/internal/salvage/salvage.go
+++ b/internal/salvage/salvage.go
@@ -157,8 +157,22 @@
 }
 
 // move takes the log out of its folder, under the folder's lock and the duty's
-// fence, and gives how much it owes. One that a holder before has moved is read.
+// fence, and gives how much it owes. A file of that name is the work of a holder
+// before, whose folder was fenced first: it is gone on with, though the relay may
+// have come back since and begun empty.
 func move(g *duty.Grant, spec Spec, file string) (owed int, err error) {
+	recs, err := wal.ReadExport(file)
+	if err == nil {
+		if release, err := wal.Own(spec.Folder); err == nil {
+			_, err = wal.FinishExport(spec.Folder, file)
+			release()
+			return len(recs), err
+		}
+		return len(recs), nil
+	}
+	if !errors.Is(err, os.ErrNotExist) {
+		return 0, err
+	}
 	release, err := wal.Own(spec.Folder)
 	if err != nil {
 		return 0, err
@@ -167,12 +181,11 @@
 	if err := duty.Fence(spec.Folder, Duty, g.Token); err != nil {
 		return 0, err
 	}
-	_, err = wal.Export(spec.Folder, file, int64(max(spec.DiskMB, 3))<<20)
-	if err != nil && !errors.Is(err, os.ErrExist) {
+	report, err := wal.Export(spec.Folder, file, int64(max(spec.DiskMB, 3))<<20)
+	if err != nil {
 		return 0, err
 	}
-	recs, err := wal.ReadExport(file)
-	return len(recs), err
+	return report.Owed, nil
 }
 
 // End is how a message ends that nobody will send.
--- a/internal/salvage/salvage_test.go
+++ b/internal/salvage/salvage_test.go
@@ -280,3 +280,28 @@
 		t.Errorf("says %q", says)
 	}
 }
+
+// The holder dies between moving the log and telling of it, and the relay comes
+// back and runs: what was moved is seen to its end all the same.
+func TestMovedAndNotTold(t *testing.T) {
+	s := startStore(t)
+	folder, want := lost(t, 30)
+	if _, err := wal.Export(folder, folder+".salvage", 3<<20); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := wal.PassFence(folder); err != nil {
+		t.Fatal(err)
+	}
+	lock, err := wal.OpenLock(folder, wal.LockName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lock.Close()
+	if got, err := lock.Try(); !got {
+		t.Fatal(err)
+	}
+	s.give(folder)
+	s.warden("b")
+	waitFor(t, "the order's end", func() bool { return s.order().Done })
+	s.ended(want)
+}
--- a/internal/wal/command/command_test.go
+++ b/internal/wal/command/command_test.go
@@ -153,3 +153,37 @@
 		t.Fatalf("export again: %d, %s", code, out)
 	}
 }
+
+// Cut between the file's name and the log's end, a move is finished when it is
+// asked for again; a file of something else is not written over.
+func TestMoveCutBeforeTheLogWent(t *testing.T) {
+	dir, file := t.TempDir(), filepath.Join(t.TempDir(), "moved")
+	fill(t, dir, "one", "two")
+	if err := os.WriteFile(file, []byte("of something else"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, out := runWAL("export", dir, file); code != Usage || !strings.Contains(out, "exists") {
+		t.Errorf("over another file: %d, %s", code, out)
+	}
+	if err := os.Remove(file); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.CopyFS(filepath.Join(dir, "kept"), os.DirFS(filepath.Join(dir, wal.Name))); err != nil {
+		t.Fatal(err)
+	}
+	if code, out := runWAL("export", dir, file); code != 0 {
+		t.Fatalf("export: %d, %s", code, out)
+	}
+	if err := os.Rename(filepath.Join(dir, "kept"), filepath.Join(dir, wal.Name)); err != nil { // as if it had not gone yet
+		t.Fatal(err)
+	}
+	if _, err := wal.PassFence(dir); !errors.Is(err, wal.ErrMoving) {
+		t.Errorf("in the middle: %v", err)
+	}
+	if code, out := runWAL("export", dir, file); code != 0 || !strings.Contains(out, "owed 2") {
+		t.Errorf("again: %d, %s", code, out)
+	}
+	if f, err := wal.PassFence(dir); f == nil || err != nil {
+		t.Errorf("after it: %v, %v", f, err)
+	}
+}
--- a/internal/wal/move.go
+++ b/internal/wal/move.go
@@ -127,6 +127,17 @@
 // Cut anywhere, it can be made again, and at no moment are there two logs that a
 // relay would serve from. The caller owns the folder.
 func Export(dir, to string, limit int64) (*Report, error) {
+	if _, err := os.Stat(to); err == nil {
+		moved, err := FinishExport(dir, to)
+		if err != nil {
+			return nil, err
+		}
+		if !moved { // it is of something else: nothing is written over it
+			return nil, fmt.Errorf("export: %s: %w", to, os.ErrExist)
+		}
+		recs, err := ReadExport(to)
+		return &Report{Owed: len(recs)}, err
+	}
 	report, err := Repair(dir, limit)
 	if err != nil {
 		return nil, err
@@ -135,9 +146,6 @@
 	if err != nil || len(ckps) != 1 {
 		return nil, fmt.Errorf("export: %d checkpoints in %s: %w", len(ckps), dir, err)
 	}
-	if _, err := os.Stat(to); err == nil {
-		return nil, fmt.Errorf("export: %s: %w", to, os.ErrExist)
-	}
 	if err := copyFile(ckps[0], to+newSuffix); err != nil {
 		return nil, fmt.Errorf("export: %w", err)
 	}
@@ -152,15 +160,32 @@
 		func() error { return OS{}.SyncDir(dir) },
 		func() error { return os.Rename(to+newSuffix, to) },
 		func() error { return OS{}.SyncDir(filepath.Dir(to)) },
-		func() error { return os.RemoveAll(filepath.Join(dir, Name)) },
-		func() error { return os.RemoveAll(filepath.Join(dir, SideName)) },
-		func() error { return OS{}.SyncDir(dir) },
 	} {
 		if err := step(); err != nil {
 			return nil, fmt.Errorf("export: %w", err)
 		}
 	}
-	return report, nil
+	_, err = FinishExport(dir, to)
+	return report, err
+}
+
+// FinishExport takes a log away that was exported: its fence names the file, and
+// the file has its name, so all is in there. It reports whether the fence does. The
+// caller owns the folder.
+func FinishExport(dir, to string) (bool, error) {
+	f, err := ReadFence(dir)
+	if err != nil || f == nil || f.To != to {
+		return false, err
+	}
+	for _, name := range []string{Name, SideName} {
+		if err := os.RemoveAll(filepath.Join(dir, name)); err != nil {
+			return true, fmt.Errorf("export: %w", err)
+		}
+	}
+	if err := (OS{}).SyncDir(dir); err != nil {
+		return true, fmt.Errorf("export: %w", err)
+	}
+	return true, nil
 }
 
 // Import puts an exported log into a folder that holds none, and consumes the
