Play duties with clocks that run wrong, and check their effects with porcupine

Two proofs of the duties were open: what wrong clocks do to holders, and an independent check of the effects.

internal/clock is the time that a process goes by: the machine's, or in a drill (--drill-clock rate=1.1,date=-1h@8s of troutwarden and troutregistry serve) one that runs fast or slow and whose date jumps. Wardens count leases and waits by it, nodes what they have heard and what they stamp. Nothing in service sets it. A test has the slow holder and the next one work at once: no effect of the first counts after one of the second.

The counter logs each step before it asks and once it is answered. The judge's rule fenced gives these spans to porcupine, with a fenced register as the model: each step counts one on, under a token that is no older than the last and was never refused. Its test has five histories with a defect and three without.

--- a/internal/duty/command/command.go
+++ b/internal/duty/command/command.go
@@ -16,6 +16,7 @@
 
 	"github.com/spf13/cobra"
 
+	"troutusher/internal/clock"
 	"troutusher/internal/duty"
 	"troutusher/internal/registry/client"
 	"troutusher/internal/rollout"
@@ -34,7 +35,7 @@
 // Warden is troutwarden's main. ctx ends it.
 func Warden(ctx context.Context, args []string, out, errOut io.Writer) int {
 	var nodes, duties []string
-	var name, form, operator string
+	var name, form, operator, platform, drill string
 	var ttl time.Duration
 	c := &cobra.Command{Use: "troutwarden", Short: "Hold duties of the fleet, one process at a time for each",
 		Long: "Hold duties of the fleet, one process at a time for each.\n\n" +
@@ -61,7 +62,14 @@
 				return fmt.Errorf("%w: --nodes: %w", errUsage, err)
 			}
 			defer g.Close()
-			all := map[string]duty.Work{duty.ListKeeper: duty.KeepList, duty.Counter: duty.Count(log), salvage.Duty: salvage.Work(g), rollout.Duty: rollout.Work(g)}
+			told := g
+			if platform != "" {
+				if told, err = client.New([]string{platform}, 1, log); err != nil {
+					return fmt.Errorf("%w: --platform: %w", errUsage, err)
+				}
+				defer told.Close()
+			}
+			all := map[string]duty.Work{duty.ListKeeper: duty.KeepList, duty.Counter: duty.Count(log), salvage.Duty: salvage.Work(g, told), rollout.Duty: rollout.Work(g)}
 			work := map[string]duty.Work{}
 			for _, d := range duties {
 				w, ok := all[d]
@@ -70,6 +78,10 @@
 				}
 				work[d] = w
 			}
+			own, err := clock.Parse(drill)
+			if err != nil {
+				return fmt.Errorf("%w: --drill-clock: %w", errUsage, err)
+			}
 			figures := duty.NewFigures()
 			if operator != "" {
 				ln, err := net.Listen("tcp", operator)
@@ -82,7 +94,7 @@
 				go s.Serve(ln) // ends by Close
 				defer s.Close()
 			}
-			return duty.Run(c.Context(), duty.Options{Client: g, Warden: name, TTL: ttl, Duties: work, Log: log, Figures: figures})
+			return duty.Run(c.Context(), duty.Options{Client: g, Warden: name, TTL: ttl, Duties: work, Log: log, Figures: figures, Clock: own})
 		}}
 	host, _ := os.Hostname() // a default alone
 	c.Flags().StringSliceVar(&nodes, "nodes", []string{"127.0.0.1:7800"}, "nodes of the list service")
@@ -90,7 +102,9 @@
 	c.Flags().DurationVar(&ttl, "ttl", 3*time.Second, "time to live of its session: another takes over so long after it was last heard of")
 	c.Flags().StringSliceVar(&duties, "duties", []string{duty.ListKeeper, salvage.Duty, rollout.Duty}, "what it may hold")
 	c.Flags().StringVar(&operator, "operator", "", "where /v1/metrics is served; empty for nowhere")
+	c.Flags().StringVar(&platform, "platform", "", "where salvage tells how messages ended (POST /reports); empty for the list service, which counts them")
 	c.Flags().StringVar(&form, "log", "text", "text or json, on standard error")
+	c.Flags().StringVar(&drill, "drill-clock", "", "have its clock run wrong, such as rate=1.1,date=-1h@8s: for drills alone")
 	c.AddCommand(runnerCommand(errOut))
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
 	c.SetArgs(args)
--- a/internal/duty/count.go
+++ b/internal/duty/count.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"strconv"
@@ -15,7 +16,8 @@
 const countEvery = 20 * time.Millisecond
 
 // Count is its work. It goes on from where the holder before stood, as it is
-// noted at the store.
+// noted at the store. It logs each step before it asks and once it is answered, so
+// that a step whose answer is missing is known to have been asked for.
 func Count(log *slog.Logger) Work {
 	return func(ctx context.Context, g *Grant) error {
 		n := 0
@@ -27,13 +29,19 @@
 		}
 		for sleep(ctx, countEvery) {
 			n++
-			if err := g.Save(ctx, strconv.Itoa(n)); err != nil {
-				if ctx.Err() != nil {
-					return nil // lost, or to stop: whether it counted, the note tells
-				}
+			log.Info("counts", "count", n, "token", g.Token)
+			err := g.Save(ctx, strconv.Itoa(n))
+			switch {
+			case err == nil:
+				log.Info("counted", "count", n, "token", g.Token)
+			case errors.Is(err, ErrLost):
+				log.Info("not counted", "count", n, "token", g.Token)
+				return nil
+			case ctx.Err() != nil:
+				return nil // lost, or to stop: whether it counted, the note tells
+			default:
 				return err
 			}
-			log.Info("counted", "count", n, "token", g.Token)
 		}
 		return nil
 	}
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"troutusher/internal/clock"
 	"troutusher/internal/loopback"
 	"troutusher/internal/registry"
 	"troutusher/internal/registry/client"
@@ -113,6 +114,7 @@
 
 // proxy stands between a warden and the store, and can be cut in one way or both.
 type proxy struct {
+	server    *httptest.Server
 	addr      string
 	cutAll    atomic.Bool
 	loseReply atomic.Int32 // so many answers to grants
@@ -134,6 +136,7 @@
 	}))
 	s.Config.ErrorLog = slog.NewLogLogger(quiet().Handler(), slog.LevelDebug)
 	t.Cleanup(s.Close)
+	p.server = s
 	p.addr = strings.TrimPrefix(s.URL, "http://")
 	return p
 }
@@ -222,6 +225,68 @@
 	}
 }
 
+// Clocks: the holder's runs at a third of its pace, so that it believes in its
+// lease long after the store has ended it; the next one's is a tenth fast, and the
+// store's date is set back an hour meanwhile. Both work at once, and no effect of
+// the first counts after one of the second.
+func TestWrongClocks(t *testing.T) {
+	drill := func(text string) *clock.Clock {
+		c, err := clock.Parse(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	_, addr := startNode(t, func(c *registry.Config) { c.Clock = drill("date=-1h@500ms") })
+	p := startProxy(t, addr)
+	const ttl = 3 * time.Second
+	var refused atomic.Bool
+	believes := make(chan context.Context, 1)
+	first := func(ctx context.Context, g *Grant) error { // deaf: its effects go on whatever it is told
+		select {
+		case believes <- ctx:
+		default:
+		}
+		for i := 0; !refused.Load() && t.Context().Err() == nil; i++ {
+			short, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			err := g.Save(short, fmt.Sprint("a ", i))
+			cancel()
+			refused.Store(errors.Is(err, ErrLost))
+		}
+		return nil
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	run := func(to, name, time string, w Work) {
+		c := newClient(t, to)
+		go func() {
+			if err := Run(ctx, Options{Client: c, Warden: name, TTL: ttl, Duties: map[string]Work{"d": w}, Log: quiet(), Clock: drill(time)}); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	run(p.addr, "a", "rate=0.3", first)
+	waitFor(t, "an effect of a", func() bool { return strings.HasPrefix(dutyOf(t, addr, "d").Note, "a ") })
+	p.cutAll.Store(true)
+	p.server.CloseClientConnections()
+	run(addr, "b", "rate=1.1", func(ctx context.Context, g *Grant) error {
+		if err := g.Save(ctx, "b"); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	})
+	waitFor(t, "an effect of b", func() bool { return dutyOf(t, addr, "d").Note == "b" })
+	if (<-believes).Err() != nil {
+		t.Error("a does not believe in itself any more: this shows nothing")
+	}
+	p.cutAll.Store(false)
+	waitFor(t, "an effect of a is refused", refused.Load)
+	if d := dutyOf(t, addr, "d"); d.Note != "b" || d.Warden != "b" {
+		t.Errorf("an older token counted: %+v", d)
+	}
+}
+
 // Work that ignores its cancelled context goes on by itself, but its effects are
 // refused, and its warden does not begin it a second time beside it.
 func TestWorkThatDoesNotEnd(t *testing.T) {
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"troutusher/internal/clock"
 	"troutusher/internal/registry"
 	"troutusher/internal/registry/client"
 )
@@ -44,13 +45,14 @@
 	TTL     time.Duration
 	Duties  map[string]Work
 	Log     *slog.Logger
-	Figures *Figures // nil for none
+	Figures *Figures     // nil for none
+	Clock   *clock.Clock // nil for the machine's
 }
 
 // Holder is a warden's part in all duties.
 type Holder struct {
 	o     Options
-	began time.Time
+	began time.Time // by its clock
 
 	mu      sync.Mutex
 	session string
@@ -86,7 +88,7 @@
 	if o.Figures == nil {
 		o.Figures = NewFigures()
 	}
-	h := &Holder{o: o, began: time.Now(), grants: map[string]*Grant{}, stuck: map[string]bool{}, tokens: map[string]int64{}, away: map[string]time.Time{},
+	h := &Holder{o: o, began: o.Clock.Mono(), grants: map[string]*Grant{}, stuck: map[string]bool{}, tokens: map[string]int64{}, away: map[string]time.Time{},
 		seen: map[string]time.Time{}, news: make(chan struct{}, 1)}
 	o.Figures.watch(h)
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -108,7 +110,7 @@
 	return nil
 }
 
-func (h *Holder) now() time.Duration { return time.Since(h.began) }
+func (h *Holder) now() time.Duration { return h.o.Clock.Mono().Sub(h.began) }
 
 // open begins a session of a new draw.
 func (h *Holder) open(ctx context.Context) error {
@@ -132,7 +134,7 @@
 	if h.timer != nil {
 		h.timer.Stop()
 	}
-	h.timer = time.AfterFunc(h.lease.Left(h.now()), func() {
+	h.timer = time.AfterFunc(h.o.Clock.Real(h.lease.Left(h.now())), func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if h.lease.Left(h.now()) > 0 {
@@ -147,7 +149,7 @@
 
 // renew keeps the session; a lost one is followed by a new one.
 func (h *Holder) renew(ctx context.Context) {
-	every := h.o.TTL / renewals
+	every := h.o.Clock.Real(h.o.TTL / renewals)
 	for sleep(ctx, every) {
 		h.mu.Lock()
 		id := h.session
@@ -208,7 +210,7 @@
 		return // a node that is behind
 	}
 	h.view = l
-	now := time.Now()
+	now := h.o.Clock.Mono()
 	for _, d := range l.Duties {
 		if g := h.grants[d.Name]; g != nil && (d.Token > g.Token || d.Token == g.Token && d.Holder != h.session) {
 			if d.Off {
@@ -243,7 +245,7 @@
 				h.ask(ctx, name)
 			}
 		}
-		t := time.NewTimer(wait)
+		t := time.NewTimer(h.o.Clock.Real(wait))
 		select {
 		case <-h.news:
 		case <-t.C:
@@ -269,7 +271,7 @@
 		named[s.Warden] = true
 	}
 	share := (len(h.o.Duties) + max(1, len(named)) - 1) / max(1, len(named))
-	now := time.Now()
+	now := h.o.Clock.Mono()
 	for name := range h.o.Duties {
 		d, known := state[name]
 		if d.Holder != "" && d.Holder == h.session && h.grants[name] == nil && !h.stuck[name] && d.Token > h.tokens[name] {
@@ -320,7 +322,7 @@
 	defer h.mu.Unlock()
 	if err != nil {
 		// Where the answer alone is lost, the grant stands: the poll shows it.
-		h.away[name] = time.Now().Add(time.Duration(50+rand.Int64N(100)) * time.Millisecond)
+		h.away[name] = h.o.Clock.Mono().Add(time.Duration(50+rand.Int64N(100)) * time.Millisecond)
 		return
 	}
 	if session != h.session || h.lease.Left(h.now()) <= 0 {
@@ -401,7 +403,7 @@
 	h.o.Log.Info("duty given up", "duty", g.Duty, "token", g.Token, "next", next)
 	if err == nil && cause == nil { // its work is over: asked for again when there is news
 		h.mu.Lock()
-		h.away[g.Duty] = time.Now().Add(h.o.TTL)
+		h.away[g.Duty] = h.o.Clock.Mono().Add(h.o.TTL)
 		h.mu.Unlock()
 	}
 }
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -110,6 +110,8 @@
 			r.clients.Ready(x.name)
 		}
 		return nil
+	case "salvage":
+		return r.strikeSalvage(ctx, s, x)
 	case "hup":
 		if err := x.agent.Move(r.ctx); err != nil {
 			return err
--- a/internal/lab/group.go
+++ b/internal/lab/group.go
@@ -43,6 +43,8 @@
 	client  *client.Client
 	value   atomic.Int64
 
+	platform *platform // nil without wardens
+
 	mu    sync.Mutex
 	muted map[string]bool // endpoints whose heartbeats are kept back
 	drawn map[string]bool // members that are taken off the list for now
@@ -133,7 +135,8 @@
 	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
 		return fmt.Errorf("lab: %w", err)
 	}
-	p, err := process.Start(n.name, n.group.run.opts.Registry, []string{"serve", "--config", path}, nil, n.log)
+	p, err := process.Start(n.name, n.group.run.opts.Registry, []string{"serve", "--config", path,
+		"--drill-clock", scenario.Turn(n.group.run.scen.Registry.NodeClocks, n.num)}, nil, n.log)
 	if err != nil {
 		return err
 	}
@@ -452,6 +455,9 @@
 	if g.client != nil {
 		g.client.Close()
 	}
+	if g.platform != nil {
+		g.platform.Close()
+	}
 }
 
 // startAgent runs the agent of one relay and the tap before it, and waits until
--- a/internal/lab/judge/duty.go
+++ b/internal/lab/judge/duty.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
+	"github.com/anishathalye/porcupine"
+
 	"troutusher/internal/lab/history"
 )
 
@@ -12,9 +15,17 @@
 // their number, no step counts twice, and no token counts after a newer one.
 // Steps whose answer a fault took are not seen, and leave gaps.
 func (j *Judge) duties() {
-	by := map[string][]history.Event{}
+	by, asked := map[string][]history.Event{}, map[string][]history.Event{}
 	for _, e := range j.effects {
-		by[e.Text] = append(by[e.Text], e)
+		if e.Phase == "" || e.Phase == history.Counted {
+			by[e.Text] = append(by[e.Text], e)
+		}
+		if e.Phase != "" {
+			asked[e.Text] = append(asked[e.Text], e)
+		}
+	}
+	for name, all := range asked {
+		j.fenced(name, all)
 	}
 	for name, all := range by {
 		slices.SortStableFunc(all, func(a, b history.Event) int { return cmp.Or(a.Status-b.Status, cmp.Compare(a.For, b.For)) })
@@ -32,3 +43,63 @@
 		}
 	}
 }
+
+// fence is the state of a fenced register: the step that stands, under which
+// token, and whether that token was refused since.
+type fence struct {
+	step  int
+	token int64
+	dead  bool
+}
+
+// fencedRegister is the model of the steps: each counts one on, under a token
+// that is no older than the last and was never refused.
+var fencedRegister = porcupine.Model{
+	Init: func() any { return fence{} },
+	Step: func(state, input, _ any) (bool, any) {
+		s, e := state.(fence), input.(history.Event)
+		counts := e.Status == s.step+1 && (e.For > s.token || e.For == s.token && !s.dead)
+		switch e.Phase {
+		case history.Fenced: // a grant comes before, or the end of its own
+			if e.For >= s.token {
+				s.token, s.dead = e.For, true
+			}
+			return true, s
+		case history.Unanswered:
+			if !counts {
+				return true, s // it never came, or was refused
+			}
+		}
+		return counts, fence{e.Status, e.For, false}
+	},
+	DescribeOperation: func(input, _ any) string {
+		e := input.(history.Event)
+		return fmt.Sprintf("%s: step %d under %d %s", e.Relay, e.Status, e.For, e.Phase)
+	},
+}
+
+// fenced judges that what the holders of a duty asked for, each in its span, has
+// an order that a fenced register explains.
+func (j *Judge) fenced(name string, all []history.Event) {
+	clients := map[string]int{}
+	var ops []porcupine.Operation
+	for _, e := range all {
+		if _, ok := clients[e.Relay]; !ok {
+			clients[e.Relay] = len(clients)
+		}
+		op := porcupine.Operation{ClientId: clients[e.Relay], Input: e, Call: e.From, Return: e.Due}
+		if e.Phase == history.Unanswered { // it may have counted at any later moment, or never
+			op.ClientId, op.Return = len(all)+len(ops), math.MaxInt64
+		}
+		ops = append(ops, op)
+	}
+	switch porcupine.CheckOperationsTimeout(fencedRegister, ops, linearMost) {
+	case porcupine.Ok:
+		j.v.Judged["fenced"] += len(ops)
+	case porcupine.Unknown:
+		j.v.Excused["steps whose order was not found in time"] += len(ops)
+	case porcupine.Illegal:
+		j.judged("fenced")
+		j.broken("fenced", name, "", fmt.Sprintf("no order of %d steps explains what counted and what was refused", len(ops)), all[0], all[len(all)-1])
+	}
+}
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -301,6 +301,38 @@
 	}
 }
 
+// TestFencedRegister: steps of two holders, each in the span from when it was
+// asked for to its answer. What no fenced register explains is caught.
+func TestFencedRegister(t *testing.T) {
+	type step struct {
+		step       int
+		token      int64
+		asked, end int64
+		phase      string
+	}
+	for name, x := range map[string]struct {
+		steps  []step
+		broken bool
+	}{
+		"sound":                    {[]step{{1, 5, 0, 2, history.Counted}, {2, 5, 3, 9, history.Fenced}, {2, 7, 4, 8, history.Counted}}, false},
+		"counted without a word":   {[]step{{1, 5, 0, 0, history.Unanswered}, {2, 7, 4, 8, history.Counted}}, false},
+		"never came":               {[]step{{1, 5, 0, 0, history.Unanswered}, {1, 7, 4, 8, history.Counted}}, false},
+		"a step is missing":        {[]step{{1, 5, 0, 2, history.Counted}, {3, 7, 4, 8, history.Counted}}, true},
+		"twice":                    {[]step{{1, 5, 0, 2, history.Counted}, {1, 7, 4, 8, history.Counted}}, true},
+		"an older token":           {[]step{{1, 7, 0, 2, history.Counted}, {2, 5, 3, 8, history.Counted}}, true},
+		"counts after its refusal": {[]step{{1, 5, 0, 2, history.Counted}, {2, 5, 3, 4, history.Fenced}, {2, 5, 5, 6, history.Counted}}, true},
+		"before the step before":   {[]step{{2, 5, 0, 2, history.Counted}, {1, 5, 3, 4, history.Counted}}, true},
+	} {
+		s := &script{}
+		for i, e := range x.steps {
+			s.add(history.Event{Kind: history.Effect, Relay: fmt.Sprint("w", i), Text: "count", Status: e.step, For: e.token, From: e.asked, Due: e.end, Phase: e.phase})
+		}
+		if v := judgeAll(s.events); (v.Counts["fenced"] > 0) != x.broken || !x.broken && v.Judged["fenced"] != len(x.steps) {
+			t.Errorf("%s: %v", name, v.Broken)
+		}
+	}
+}
+
 // TestToldUpBeforeTheOperatorHears: the list's answer to the operator may be
 // late, or lost with a leader, when the relay has heard of the change already.
 func TestToldUpBeforeTheOperatorHears(t *testing.T) {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -21,6 +21,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"troutusher/internal/discovery"
 	"troutusher/internal/lab/history"
 	"troutusher/internal/lab/judge"
 	"troutusher/internal/lab/link"
@@ -356,25 +357,27 @@
 		mine[i] = members[i]
 		mine[i].HostPort = l.Addr()
 	}
-	noticed := func(id, outcome string, retryMS int64) {
-		if r.world.Ledger.Over(id) && outcome == "handed_back" {
-			r.clients.HandedBack(r.ctx, id, retryMS)
-		}
-	}
 	if r.group == nil {
-		x.agent, err = r.disc.NewAgent(x.name, r.ip, mine, noticed)
+		x.agent, err = r.disc.NewAgent(x.name, r.ip, mine, r.noticed)
 		return err
 	}
 	if x.agentLog, err = os.Create(filepath.Join(r.opts.Out, "logs", x.name+"-agent.log")); err != nil {
 		return fmt.Errorf("lab: %w", err)
 	}
-	t, err := r.group.startAgent(ctx, x, noticed)
+	t, err := r.group.startAgent(ctx, x, r.noticed)
 	if t != nil {
 		x.agent = t
 	}
 	return err
 }
 
+// noticed hears of a message's end; its client may hand it in again.
+func (r *run) noticed(id, outcome string, retryMS int64) {
+	if r.world.Ledger.Over(id) && outcome == discovery.HandedBack {
+		r.clients.HandedBack(r.ctx, id, retryMS)
+	}
+}
+
 // swallowed records a call that a relay wrote whole and that a link never let
 // through: the relay cannot know that it did not run.
 func (r *run) swallowed(l *link.Link, written []byte) {
--- /dev/null
+++ b/internal/lab/salvage.go
@@ -0,0 +1,77 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"troutusher/internal/discovery"
+	"troutusher/internal/lab/history"
+	"troutusher/internal/lab/model"
+	"troutusher/internal/registry"
+	"troutusher/internal/salvage"
+)
+
+// platform is where notices go that come from no relay's own agent.
+type platform struct {
+	*model.Door
+	run *run
+}
+
+func (r *run) newPlatform() (*platform, error) {
+	p := &platform{run: r}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+discovery.NoticePath, p.reports)
+	var err error
+	if p.Door, err = model.NewDoor(r.ip, mux); err != nil {
+		return nil, fmt.Errorf("lab: platform: %w", err)
+	}
+	return p, nil
+}
+
+func (p *platform) reports(w http.ResponseWriter, r *http.Request) {
+	all, err := discovery.ReadNotices(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for _, n := range all {
+		p.run.rec.Put(history.Event{Kind: history.Notice, Relay: "salvage", Msg: n.Message, Text: n.Outcome, Wait: n.RetryMS * 1000})
+		p.run.noticed(n.Message, n.Outcome, n.RetryMS)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// strikeSalvage loses a relay for good, as its operators see it: they have the
+// wardens salvage its folder, which has to be done before the run ends. Later the
+// relay comes back all the same, over the folder that it had.
+func (r *run) strikeSalvage(ctx context.Context, s Step, x *relay) error {
+	x.stop(false)
+	spec, err := json.Marshal(salvage.Spec{Folder: x.state(), DiskMB: r.scen.Fleet.DiskMB})
+	if err != nil {
+		return fmt.Errorf("lab: salvage: %w", err)
+	}
+	name := fmt.Sprintf("%s-%d", x.name, s.At.Milliseconds())
+	if _, err := r.group.client.Do(ctx, http.MethodPut, registry.OrdersPath+"/"+salvage.Duty+"/"+name, registry.Order{Spec: spec, Wish: registry.WishRun}, nil); err != nil {
+		return fmt.Errorf("lab: salvage: %w", err)
+	}
+	last := registry.Order{Says: "not begun"}
+	for !last.Done {
+		var all []registry.Order
+		if _, err := r.group.client.Do(ctx, http.MethodGet, registry.OrdersPath, nil, &all); err == nil {
+			for _, o := range all {
+				if o.Kind == salvage.Duty && o.Name == name {
+					last = o
+				}
+			}
+		}
+		if !model.Pause(ctx, 50*time.Millisecond) {
+			return fmt.Errorf("lab: salvage of %s: not at its end: %s, %s", x.name, last.Says, last.Progress)
+		}
+	}
+	r.rec.Put(history.Event{Kind: history.Salvaged, Relay: x.name, Text: string(last.Progress)})
+	r.hold(ctx, s)
+	return x.start()
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -17,6 +17,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"troutusher/internal/clock"
 )
 
 // Scenario is one file. Spans are seconds.
@@ -79,6 +81,10 @@
 	TTL       float64 `toml:"ttl"`   // of the endpoints' registrations
 	Wardens   int     `toml:"wardens"`
 	WardenTTL float64 `toml:"warden_ttl"` // of their sessions
+
+	// How the clock of each warden and node runs wrong, by turns (package clock).
+	WardenClocks []string `toml:"warden_clocks"`
+	NodeClocks   []string `toml:"node_clocks"`
 }
 
 // Peers are the peers that send no proper request.
@@ -120,6 +126,7 @@
 	"turnaway": "discovery", "quiet": "discovery",
 	"node-kill": "node", "node-pause": "node", "node-cut": "node", "lapse": "registration", "restore": "group",
 	"warden-kill": "warden", "warden-pause": "warden", "warden-cut": "warden", "rollout": "fleet",
+	"salvage": "relay",
 }
 
 // Damage are the kinds that spoil a file while its relay is down.
@@ -330,6 +337,13 @@
 	if !(s.Registry.WardenTTL >= 0.3 && s.Registry.WardenTTL <= 60) {
 		return "registry.warden_ttl", fmt.Sprintf("%v; from 0.3 to 60 is allowed", s.Registry.WardenTTL)
 	}
+	for key, all := range map[string][]string{"registry.node_clocks": s.Registry.NodeClocks, "registry.warden_clocks": s.Registry.WardenClocks} {
+		for _, drill := range all {
+			if _, err := clock.Parse(drill); err != nil {
+				return key, strings.TrimPrefix(err.Error(), "clock: ")
+			}
+		}
+	}
 	if f.Promise != "" && f.Promise != "process" && f.Promise != "power" {
 		return "fleet.promise", fmt.Sprintf("%q; process and power are allowed", f.Promise)
 	}
@@ -395,7 +409,7 @@
 			return "cells", fmt.Sprintf("%d; from 0 to %d is allowed", n, s.Part.Destinations-1)
 		}
 	}
-	if (target == "warden" || target == "fleet") && s.Registry.Wardens == 0 {
+	if (target == "warden" || target == "fleet" || f.Kind == "salvage") && s.Registry.Wardens == 0 {
 		return "kind", f.Kind + " wants wardens: registry.wardens is 0"
 	}
 	if f.Node == "holder" && target != "warden" {
@@ -410,6 +424,14 @@
 	return "", ""
 }
 
+// Turn gives an entry of a list that is gone through by turns; nothing of none.
+func Turn(all []string, i int) string {
+	if len(all) == 0 {
+		return ""
+	}
+	return all[i%len(all)]
+}
+
 // Secs is a span given in seconds.
 func Secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
--- a/internal/lab/wardens.go
+++ b/internal/lab/wardens.go
@@ -30,6 +30,7 @@
 // link of its own.
 type warden struct {
 	group *group
+	num   int
 	name  string
 	links []*link.Link
 	path  string // of its log
@@ -40,10 +41,16 @@
 	proc *process.Proc
 }
 
-func (g *group) newWardens() error {
+func (g *group) newWardens() (err error) {
 	r := g.run
+	if r.scen.Registry.Wardens == 0 {
+		return nil
+	}
+	if g.platform, err = r.newPlatform(); err != nil {
+		return err
+	}
 	for i := range r.scen.Registry.Wardens {
-		w := &warden{group: g, name: fmt.Sprint("w", i+1), path: filepath.Join(r.opts.Out, "logs", fmt.Sprintf("w%d.log", i+1))}
+		w := &warden{group: g, num: i, name: fmt.Sprint("w", i+1), path: filepath.Join(r.opts.Out, "logs", fmt.Sprintf("w%d.log", i+1))}
 		for _, n := range g.nodes {
 			l, err := r.world.Net.Listen(w.name, n.name, r.address(), n.http, r.seed, nil)
 			if err != nil {
@@ -51,7 +58,6 @@
 			}
 			w.links = append(w.links, l)
 		}
-		var err error
 		if w.log, err = os.Create(w.path); err != nil {
 			return fmt.Errorf("lab: %w", err)
 		}
@@ -70,6 +76,7 @@
 		nodes = append(nodes, l.Addr())
 	}
 	p, err := process.Start(w.name, r.opts.Warden, []string{"--nodes", strings.Join(nodes, ","), "--name", w.name,
+		"--drill-clock", scenario.Turn(r.scen.Registry.WardenClocks, w.num), "--platform", w.group.platform.Addr(),
 		"--ttl", scenario.Secs(r.scen.Registry.WardenTTL).String(), "--duties", strings.Join([]string{duty.ListKeeper, duty.Counter, rollout.Duty, salvage.Duty}, ",")}, nil, w.log)
 	if err != nil {
 		return err
@@ -153,9 +160,13 @@
 	})
 }
 
-var counted = regexp.MustCompile(`^time=(\S+) .*msg=counted .*count=(\d+) token=(\d+)`)
+var counting = regexp.MustCompile(`^time=(\S+) .*msg=(counts|counted|"not counted") .*count=(\d+) token=(\d+)`)
+
+// What became of a step that a warden asked for.
+var stepEnds = map[string]string{"counted": history.Counted, `"not counted"`: history.Fenced}
 
-// effects puts what the wardens counted into the history, once they have ended.
+// effects puts what the wardens counted into the history, once they have ended:
+// each step with when it was asked for, when it was answered, and how.
 func (g *group) effects() error {
 	var errs []error
 	for _, w := range g.wardens {
@@ -164,21 +175,36 @@
 			errs = append(errs, err)
 			continue
 		}
+		var asked *history.Event
+		tell := func(phase string, at int64) {
+			if asked != nil {
+				asked.Phase, asked.Due = phase, at
+				g.run.rec.Put(*asked)
+			}
+			asked = nil
+		}
 		lines := bufio.NewScanner(f)
 		for lines.Scan() {
-			m := counted.FindStringSubmatch(lines.Text())
+			m := counting.FindStringSubmatch(lines.Text())
 			if m == nil {
 				continue
 			}
 			at, err := time.Parse(time.RFC3339Nano, m[1])
-			count, cerr := strconv.Atoi(m[2])
-			token, terr := strconv.ParseInt(m[3], 10, 64)
+			count, cerr := strconv.Atoi(m[3])
+			token, terr := strconv.ParseInt(m[4], 10, 64)
 			if err := errors.Join(err, cerr, terr); err != nil {
 				errs = append(errs, err)
 				continue
 			}
-			g.run.rec.Put(history.Event{Kind: history.Effect, Relay: w.name, Text: duty.Counter, Status: count, For: token, Due: at.UnixMicro()})
+			if end, ok := stepEnds[m[2]]; ok {
+				// The log cuts its times to the millisecond.
+				tell(end, at.UnixMicro()+1000)
+				continue
+			}
+			tell(history.Unanswered, 0)
+			asked = &history.Event{Kind: history.Effect, Relay: w.name, Text: duty.Counter, Status: count, For: token, From: at.UnixMicro()}
 		}
+		tell(history.Unanswered, 0)
 		errs = append(errs, lines.Err(), f.Close())
 	}
 	return errors.Join(errs...)
--- a/internal/registry/command/serve.go
+++ b/internal/registry/command/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"troutusher/internal/clock"
 	"troutusher/internal/registry"
 	"troutusher/internal/registry/agent"
 )
@@ -83,13 +84,16 @@
 }
 
 func serveCommand(getenv func(string) string) *cobra.Command {
-	var path string
+	var path, drill string
 	c := &cobra.Command{Use: "serve", Short: "Run one node; without a file, a group of one", Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
 			cfg, err := registry.LoadConfig(path, getenv)
 			if err != nil {
 				return usageError{err}
 			}
+			if cfg.Clock, err = clock.Parse(drill); err != nil {
+				return usageError{fmt.Errorf("--drill-clock: %w", err)}
+			}
 			n, err := registry.Start(cfg, newLog(cfg.LogForm, c.ErrOrStderr()).With("node", cfg.ID))
 			if err != nil {
 				return err
@@ -99,6 +103,7 @@
 			return nil
 		}}
 	c.Flags().StringVar(&path, "config", "", "TOML file; deploy/troutregistry.toml documents each key")
+	c.Flags().StringVar(&drill, "drill-clock", "", "have its clock run wrong, such as rate=1.1,date=-1h@8s: for drills alone")
 	return c
 }
 
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/raft"
 	"github.com/pelletier/go-toml/v2"
 
+	"troutusher/internal/clock"
 	"troutusher/internal/discovery"
 )
 
@@ -66,6 +67,8 @@
 	Zones    []Zone   `toml:"zones"`
 	Watchers int      `toml:"watchers"`
 
+	Clock *clock.Clock `toml:"-"` // nil for the machine's
+
 	tune func(*raft.Config)                // tests alone
 	logs func(raft.LogStore) raft.LogStore // tests alone
 }
--- a/internal/registry/duties_api.go
+++ b/internal/registry/duties_api.go
@@ -143,7 +143,7 @@
 		refuse(w, http.StatusBadRequest, "%s: NAME=TOKEN is wanted", FenceHeader)
 		return
 	}
-	count, a, err := n.hearts.look(time.Now(), c)
+	count, a, err := n.hearts.look(n.cfg.Clock.Mono(), c)
 	switch {
 	case err != nil:
 		refuse(w, http.StatusServiceUnavailable, "%v", err)
--- a/internal/registry/lapse.go
+++ b/internal/registry/lapse.go
@@ -48,7 +48,7 @@
 func (h *hearts) beat(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.heard[id] = time.Now()
+	h.heard[id] = h.node.cfg.Clock.Mono()
 }
 
 // session books that a warden's session was heard of; false where its end is on
@@ -59,14 +59,14 @@
 	if slices.Contains(h.ending, id) {
 		return false
 	}
-	h.sessions.Heard(id, time.Since(h.node.began))
+	h.sessions.Heard(id, h.node.uptime())
 	return true
 }
 
 // lookSessions ends those that were not heard of for a whole time to live.
 func (h *hearts) lookSessions() {
 	h.mu.Lock()
-	ids := h.sessions.Overdue(h.node.store.sessions(), time.Since(h.node.began))
+	ids := h.sessions.Overdue(h.node.store.sessions(), h.node.uptime())
 	h.ending = ids
 	h.mu.Unlock()
 	if len(ids) == 0 {
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -75,7 +75,7 @@
 
 // Start opens a node's store and serves.
 func Start(cfg *Config, log *slog.Logger) (_ *Node, err error) {
-	n := &Node{cfg: cfg, log: log, store: newStore(), began: time.Now()}
+	n := &Node{cfg: cfg, log: log, store: newStore(), began: cfg.Clock.Mono()}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.hearts = newHearts(n)
 	n.figs = newFigures(n)
@@ -279,10 +279,13 @@
 	return last.IsZero() || time.Since(last) > staleAfter
 }
 
+// uptime is how long it runs, by its clock.
+func (n *Node) uptime() time.Duration { return n.cfg.Clock.Mono().Sub(n.began) }
+
 // apply has the group take a command. An error means that it may or may not
 // have been taken: with the same request it may be asked again.
 func (n *Node) apply(c Command) (Answer, error) {
-	c.At = time.Now().UnixMilli()
+	c.At = n.cfg.Clock.Date().UnixMilli()
 	text, err := json.Marshal(c)
 	if err != nil {
 		return Answer{}, fmt.Errorf("command: %w", err)
@@ -319,7 +322,7 @@
 				continue
 			}
 			n.hearts.lookSessions()
-			if now := time.Now(); now.Sub(looked) >= lapseEvery {
+			if now := n.cfg.Clock.Mono(); now.Sub(looked) >= lapseEvery {
 				looked = now
 				if n.cfg.Lapse.By == "duty" {
 					continue
--- a/internal/salvage/salvage.go
+++ b/internal/salvage/salvage.go
@@ -49,8 +49,9 @@
 	GivenUp    int  `json:"given_up"`
 }
 
-// Work is the duty's.
-func Work(c *client.Client) duty.Work {
+// Work is the duty's. Orders come from and go to the list service by c; how
+// messages end is told by platform.
+func Work(c, platform *client.Client) duty.Work {
 	return func(ctx context.Context, g *duty.Grant) error {
 		t := time.NewTicker(lookEvery)
 		defer t.Stop()
@@ -63,7 +64,7 @@
 				if o.Kind != Duty || o.Done || o.Wish == registry.WishPause {
 					continue
 				}
-				if err := one(ctx, g, c, o); err != nil {
+				if err := one(ctx, g, platform, o); err != nil {
 					return ended(ctx, err)
 				}
 			}
@@ -86,7 +87,7 @@
 
 // one brings an order on. What keeps it from that is told in the order, and
 // tried again.
-func one(ctx context.Context, g *duty.Grant, c *client.Client, o registry.Order) error {
+func one(ctx context.Context, g *duty.Grant, platform *client.Client, o registry.Order) error {
 	var spec Spec
 	var p Progress
 	err := json.Unmarshal(o.Spec, &spec)
@@ -142,7 +143,7 @@
 			}
 		}
 		next.Told += len(part)
-		if _, err := c.Do(ctx, http.MethodPost, discovery.NoticePath, lines.Bytes(), nil); err != nil {
+		if _, err := platform.Do(ctx, http.MethodPost, discovery.NoticePath, lines.Bytes(), nil); err != nil {
 			return err
 		}
 		p = next
--- a/internal/salvage/salvage_test.go
+++ b/internal/salvage/salvage_test.go
@@ -139,7 +139,7 @@
 	c := s.client()
 	go func() {
 		defer close(done)
-		if err := duty.Run(ctx, duty.Options{Client: c, Warden: name, TTL: 3 * time.Second, Duties: map[string]duty.Work{Duty: Work(c)}, Log: quiet()}); err != nil {
+		if err := duty.Run(ctx, duty.Options{Client: c, Warden: name, TTL: 3 * time.Second, Duties: map[string]duty.Work{Duty: Work(c, c)}, Log: quiet()}); err != nil {
 			s.t.Error(err)
 		}
 	}()
