--- a/internal/lab/salvage.go
+++ b/internal/lab/salvage.go
@@ -49,7 +49,13 @@
 // relay comes back all the same, over the folder that it had.
 func (r *run) strikeSalvage(ctx context.Context, s Step, x *relay) error {
 	x.stop(false)
-	spec, err := json.Marshal(salvage.Spec{Folder: x.state(), DiskMB: r.scen.Fleet.DiskMB})
+	var safe []string
+	for _, c := range model.Classes() {
+		if !c.Unsafe {
+			safe = append(safe, c.Name)
+		}
+	}
+	spec, err := json.Marshal(salvage.Spec{Folder: x.state(), DiskMB: r.scen.Fleet.DiskMB, Safe: safe})
 	if err != nil {
 		return fmt.Errorf("lab: salvage: %w", err)
 	}
--- a/internal/registry/command/ctl.go
+++ b/internal/registry/command/ctl.go
@@ -242,8 +242,9 @@
 	const kind = "salvage"
 	c := &cobra.Command{Use: kind, Short: "See what a lost relay owed to its end"}
 	var spec struct {
-		Folder string `json:"folder"`
-		DiskMB int    `json:"disk_mb"`
+		Folder string   `json:"folder"`
+		DiskMB int      `json:"disk_mb"`
+		Safe   []string `json:"safe,omitempty"`
 	}
 	start := &cobra.Command{Use: "start NAME", Short: "Have the folder of a relay that will not come back seen to", Args: exactly(1), RunE: func(c *cobra.Command, args []string) error {
 		if !filepath.IsAbs(spec.Folder) {
@@ -257,6 +258,7 @@
 	}}
 	start.Flags().StringVar(&spec.Folder, "folder", "", "its state folder, on the machine of the wardens")
 	start.Flags().IntVar(&spec.DiskMB, "disk-mb", 3, "its disk_mb")
+	start.Flags().StringSliceVar(&spec.Safe, "safe", nil, "classes that may take effect again: handed back where they may have run, others are given up")
 	c.AddCommand(start, x.orders(kind), x.wish(kind, "pause", "Leave it as it is for now", registry.WishPause), x.wish(kind, "resume", "Go on", registry.WishRun),
 		x.wish(kind, "abort", "Call it off, if its folder was not moved yet", registry.WishAbort))
 	return c
--- a/internal/salvage/salvage.go
+++ b/internal/salvage/salvage.go
@@ -1,8 +1,8 @@
 // Package salvage is the duty that sees what a relay owed to its end, where that
 // relay will not come back and its folder lasts. It promises that each message of
 // the folder gets one end, the same however often a holder of the duty dies on
-// the way, and that none is sent: what never ran is handed back, what may have
-// run is given up. A relay that comes back late finds its folder fenced, and
+// the way, and that none is sent: what never ran is handed back, and so is what
+// may run again; what may have run and may not again is given up. A relay that comes back late finds its folder fenced, and
 // begins empty. Which folder is lost is the operators' to say.
 package salvage
 
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"troutusher/internal/discovery"
@@ -37,6 +38,9 @@
 type Spec struct {
 	Folder string `json:"folder"`
 	DiskMB int    `json:"disk_mb"`
+	// Safe are the classes whose messages may take effect again. One that may have
+	// run is handed back then; of a class that is not named here, it is given up.
+	Safe []string `json:"safe,omitempty"`
 }
 
 // Progress is how far an order has come. Told only grows, in the order of the
@@ -132,7 +136,7 @@
 		next := p
 		var lines bytes.Buffer
 		for _, r := range part {
-			n := End(r)
+			n := End(r, spec.Safe)
 			if n.Outcome == discovery.HandedBack {
 				next.HandedBack++
 			} else {
@@ -189,12 +193,13 @@
 	return report.Owed, nil
 }
 
-// End is how a message ends that nobody will send.
-func End(r *wal.Record) discovery.Notice {
+// End is how a message ends that nobody will send. A message of which damage took
+// all but its id may be of any class.
+func End(r *wal.Record, safe []string) discovery.Notice {
 	switch {
 	case r.Notice != "": // it was over, and its platform may have heard
 		return discovery.Notice{Message: r.ID, Outcome: r.Notice, RetryMS: r.RetryMS}
-	case r.Lost || r.Doubt != 0:
+	case r.Lost || r.Doubt != 0 && !slices.Contains(safe, r.Class):
 		return discovery.Notice{Message: r.ID, Outcome: discovery.GivenUp}
 	}
 	return discovery.Notice{Message: r.ID, Outcome: discovery.HandedBack, RetryMS: retryMS}
--- a/internal/salvage/salvage_test.go
+++ b/internal/salvage/salvage_test.go
@@ -231,6 +231,25 @@
 	l.Run(quit)
 }
 
+// Of a class that may run again, what may have run is handed back; what was told
+// already, and what damage took, is not.
+func TestSafeClassesAreHandedBack(t *testing.T) {
+	for _, x := range []struct {
+		r    wal.Record
+		want string
+	}{
+		{wal.Record{Class: "alert-update", Doubt: 7}, discovery.HandedBack},
+		{wal.Record{Class: "copy-order", Doubt: 7}, discovery.GivenUp},
+		{wal.Record{Class: "copy-order"}, discovery.HandedBack},
+		{wal.Record{Class: "alert-update", Doubt: 7, Notice: discovery.GivenUp}, discovery.GivenUp},
+		{wal.Record{Lost: true}, discovery.GivenUp},
+	} {
+		if n := End(&x.r, []string{"alert-update"}); n.Outcome != x.want {
+			t.Errorf("%+v: %s", x.r, n.Outcome)
+		}
+	}
+}
+
 // A relay that runs keeps its folder: the order waits and says why. Once it has
 // died, the order goes on.
 func TestARunningRelayKeepsItsFolder(t *testing.T) {
