Give a duty back whose work ended with the lease while its session lived on

Six seconds after the majority was back the store still named the first holder, with its session alive and Fails 0; nobody worked. Without a leader for longer than a lease the holder ends its work (work in holder.go, the branch on ErrLost) and gives nothing up; the next leader hears every session as of its own election, so the session lives, the duty hangs on it, and its holder never begins under a token that it has had. A release that did not reach the store in time left the same. Ruled out: no leader (the group answered), back-off (Fails 0).

giveBack releases what the session is held to hold though its work is over, with each news until the store has taken it.

--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -59,8 +59,9 @@
 	lease   Lease
 	timer   *time.Timer // of the watchdog
 	grants  map[string]*Grant
-	stuck   map[string]bool  // work that did not end with its grant
-	tokens  map[string]int64 // the last that was held, of each duty
+	stuck   map[string]bool                 // work that did not end with its grant
+	tokens  map[string]int64                // the last that was held, of each duty
+	owed    map[string]registry.DutyRequest // releases that the store has not taken
 	away    map[string]time.Time
 	view    registry.DutyList
 	seen    map[string]time.Time // since when a duty is seen to be nobody's
@@ -88,7 +89,7 @@
 	if o.Figures == nil {
 		o.Figures = NewFigures()
 	}
-	h := &Holder{o: o, began: o.Clock.Mono(), grants: map[string]*Grant{}, stuck: map[string]bool{}, tokens: map[string]int64{}, away: map[string]time.Time{},
+	h := &Holder{o: o, began: o.Clock.Mono(), grants: map[string]*Grant{}, stuck: map[string]bool{}, tokens: map[string]int64{}, owed: map[string]registry.DutyRequest{}, away: map[string]time.Time{},
 		seen: map[string]time.Time{}, news: make(chan struct{}, 1)}
 	o.Figures.watch(h)
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -245,6 +246,7 @@
 				h.ask(ctx, name)
 			}
 		}
+		h.giveBack(ctx)
 		t := time.NewTimer(h.o.Clock.Real(wait))
 		select {
 		case <-h.news:
@@ -309,6 +311,31 @@
 	return names
 }
 
+// giveBack gives up what the store has this session hold though its work is over:
+// it was ended with the lease, or the release did not reach the store. A session
+// that outlives a lease, as one does over a change of the store's leader, would
+// else keep the duty from everybody.
+func (h *Holder) giveBack(ctx context.Context) {
+	h.mu.Lock()
+	all := map[string]registry.DutyRequest{}
+	for _, d := range h.view.Duties {
+		if d.Holder != "" && d.Holder == h.session && h.grants[d.Name] == nil && d.Token == h.owed[d.Name].Token && h.lease.Left(h.now()) > 0 {
+			all[d.Name] = h.owed[d.Name]
+		}
+	}
+	h.mu.Unlock()
+	for name, release := range all {
+		short, cancel := context.WithTimeout(ctx, h.o.TTL)
+		_, err := h.o.Client.Do(short, http.MethodPost, registry.DutiesPath+"/"+url.PathEscape(name)+"/release", release, nil)
+		cancel()
+		if err != nil { // asked again with the next news: it is another's, or the store is away
+			h.o.Log.Warn("duty not given back", "duty", name, "token", release.Token, "err", err)
+			continue
+		}
+		h.o.Log.Info("duty given back: its work is over", "duty", name, "token", release.Token)
+	}
+}
+
 // ask asks for one duty, and has its work begun.
 func (h *Holder) ask(ctx context.Context, name string) {
 	h.mu.Lock()
@@ -391,13 +418,21 @@
 	}
 	if errors.Is(cause, ErrLost) || errors.Is(cause, ErrAway) {
 		h.o.Log.Warn("duty lost", "duty", g.Duty, "token", g.Token, "cause", cause)
+		h.mu.Lock()
+		h.owed[g.Duty] = registry.DutyRequest{Token: g.Token, Failed: true}
+		h.mu.Unlock()
 		h.stir()
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), h.o.TTL)
 	defer cancel()
-	if rerr := g.post(ctx, "release", registry.DutyRequest{Token: g.Token, Next: next, Failed: failed}); rerr != nil {
+	release := registry.DutyRequest{Token: g.Token, Next: next, Failed: failed}
+	if rerr := g.post(ctx, "release", release); rerr != nil {
 		h.o.Log.Warn("duty not given up", "duty", g.Duty, "err", rerr)
+		h.mu.Lock()
+		h.owed[g.Duty] = release
+		h.mu.Unlock()
+		h.stir()
 		return
 	}
 	h.o.Log.Info("duty given up", "duty", g.Duty, "token", g.Token, "next", next)
