Have a node end though raft never answers what it had not taken up

Seen in a run of all tests beside other work:

panic: test timed out after 10m0s running tests: TestAFullDiskStopsWritesNotReads (9m59s) (*Node).Close node.go:243 sync.WaitGroup.Wait, 9 minutes (*Node).begin node.go:341 raft.(*deferError).Error, select, 9 minutes

Ruled out: the full disk of that test (off by then) and the HTTP side (closed before). A node that is shut down between its election and its first barrier waits for that barrier for ever: raft leaves what stands in its queue unanswered when it ends, and a barrier or a command has no channel that tells of the end (node.go, begin and apply; api.go). A node would have hung at SIGTERM in the same moment.

await ends such a wait with the node's own context, which Close ends first. A command then may or may not have been taken, as for any other error of apply. The package's tests pass in 9.0 s; what hung came once in some forty runs, so that alone proves little: the cause is from the stacks above.

--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -291,10 +291,10 @@
 	if n.raft.State() != raft.Leader {
 		return raft.ErrNotLeader
 	}
-	if err := n.raft.VerifyLeader().Error(); err != nil {
+	if err := n.await(n.raft.VerifyLeader()); err != nil {
 		return err
 	}
-	return n.raft.Barrier(applyWait).Error()
+	return n.await(n.raft.Barrier(applyWait))
 }
 
 func (n *Node) getList(w http.ResponseWriter, r *http.Request) {
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -282,6 +282,19 @@
 // uptime is how long it runs, by its clock.
 func (n *Node) uptime() time.Duration { return n.cfg.Clock.Mono().Sub(n.began) }
 
+// await waits for what raft makes of something, or for this node's end: what raft
+// had not taken up when it was shut down it never answers.
+func (n *Node) await(f raft.Future) error {
+	done := make(chan error, 1)
+	go func() { done <- f.Error() }() // ends with raft's answer; without one, with the process
+	select {
+	case err := <-done:
+		return err
+	case <-n.ctx.Done():
+		return raft.ErrRaftShutdown
+	}
+}
+
 // apply has the group take a command. An error means that it may or may not
 // have been taken: with the same request it may be asked again.
 func (n *Node) apply(c Command) (Answer, error) {
@@ -291,7 +304,7 @@
 		return Answer{}, fmt.Errorf("command: %w", err)
 	}
 	f := n.raft.Apply(text, applyWait)
-	if err := f.Error(); err != nil {
+	if err := n.await(f); err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrNoLeader, err)
 	}
 	a, ok := f.Response().(Answer)
@@ -338,7 +351,7 @@
 // begin gives a new group its epoch and its static members. Until the log
 // before is applied here nothing can be said of either.
 func (n *Node) begin() {
-	if err := n.raft.Barrier(applyWait).Error(); err != nil {
+	if err := n.await(n.raft.Barrier(applyWait)); err != nil {
 		return // lost again: the next leader sees to it
 	}
 	members, epoch, _ := n.store.members()
