Wait for the count of a delivered message, which comes after its delivery

Seen once beside other work: "upgrade_test.go:193: the new process counts 3 delivered", 4 are wanted. The endpoint has seen the last message by then; the process that sent it counts it when the answer has come.

--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -189,7 +189,9 @@
 	if n := u.waits.count("waits") + u.waits.count("waits2"); n != 1 {
 		t.Errorf("%d calls against a told wait", n)
 	}
-	if n := u.new.figure(t, `app_completed{lane="once"}`); n != 4 { // what it delivered itself
+	// What it delivered itself; it counts a call later than the endpoint does.
+	waitFor(t, "4 that the new process counts as delivered", func() bool { return u.new.figure(t, `app_completed{lane="once"}`) >= 4 })
+	if n := u.new.figure(t, `app_completed{lane="once"}`); n != 4 {
 		t.Errorf("the new process counts %d delivered", n)
 	}
 }
