Let a lost lease say nothing of the work that it ended

A release can now say that the lease was lost (lost); the count of failures in a row then stays as it was. Sessions that end unheard count as before, so a duty that kills its holders is still held back.

--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -419,7 +419,7 @@
 	if errors.Is(cause, ErrLost) || errors.Is(cause, ErrAway) {
 		h.o.Log.Warn("duty lost", "duty", g.Duty, "token", g.Token, "cause", cause)
 		h.mu.Lock()
-		h.owed[g.Duty] = registry.DutyRequest{Token: g.Token, Failed: true}
+		h.owed[g.Duty] = registry.DutyRequest{Token: g.Token, Lost: true}
 		h.mu.Unlock()
 		h.stir()
 		return
@@ -443,6 +443,14 @@
 	}
 }
 
+// Ended takes errors that come of the work's end for none of its own.
+func Ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
 // guard keeps a panic of one duty's work from ending the others'.
 func guard(ctx context.Context, w Work, g *Grant) (err error) {
 	defer func() {
--- a/internal/registry/duties.go
+++ b/internal/registry/duties.go
@@ -88,7 +88,10 @@
 		if c.Note != "" {
 			d.Note = c.Note
 		}
-		if d.Fails++; !c.Failed {
+		switch {
+		case c.Failed:
+			d.Fails++
+		case !c.Lost: // a lease that ended says nothing of the work
 			d.Fails = 0
 		}
 	default:
--- a/internal/registry/duties_api.go
+++ b/internal/registry/duties_api.go
@@ -42,7 +42,8 @@
 	Next    string `json:"next,omitempty"`
 	Good    bool   `json:"good,omitempty"`
 	Failed  bool   `json:"failed,omitempty"`
-	Off     bool   `json:"off,omitempty"` // hold
+	Lost    bool   `json:"lost,omitempty"` // release: the lease ended under the work
+	Off     bool   `json:"off,omitempty"`  // hold
 }
 
 func (n *Node) dutyRoutes(mux *http.ServeMux) {
@@ -80,7 +81,7 @@
 func (n *Node) postRenew(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	if n.store.hasSession(id) && n.hearts.session(id) {
-		if err := n.raft.VerifyLeader().Error(); err != nil {
+		if err := n.await(n.raft.VerifyLeader()); err != nil {
 			refuse(w, http.StatusServiceUnavailable, "%v", err)
 			return
 		}
@@ -133,7 +134,7 @@
 		refuse(w, http.StatusBadRequest, "name, next: %d bytes at most; note: %d", idMost, noteMost)
 		return
 	}
-	n.settle(w, r, Command{Op: op, Duty: name, Session: Session{ID: x.Session}, Token: x.Token, Note: x.Note, Next: x.Next, Good: x.Good, Failed: x.Failed, Off: x.Off})
+	n.settle(w, r, Command{Op: op, Duty: name, Session: Session{ID: x.Session}, Token: x.Token, Note: x.Note, Next: x.Next, Good: x.Good, Failed: x.Failed, Lost: x.Lost, Off: x.Off})
 }
 
 // postLapse ends the registrations that are due, as an effect of a duty.
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -75,6 +75,7 @@
 	Next    string           `json:"next,omitempty"`
 	Good    bool             `json:"good,omitempty"` // the work goes well
 	Failed  bool             `json:"failed,omitempty"`
+	Lost    bool             `json:"lost,omitempty"` // release: the lease ended under the work
 	Off     bool             `json:"off,omitempty"`
 	Order   Order            `json:"order,omitzero"`
 	At      int64            `json:"at,omitempty"` // Unix ms, drawn by the leader: replicas read no clock
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -50,12 +50,12 @@
 		for {
 			var all []registry.Order
 			if _, err := c.Do(ctx, http.MethodGet, registry.OrdersPath, nil, &all); err != nil {
-				return ended(ctx, err)
+				return duty.Ended(ctx, err)
 			}
 			for _, o := range all {
 				if o.Kind == Duty && !o.Done && o.Wish != registry.WishPause {
 					if err := w.one(ctx, g, o); err != nil {
-						return ended(ctx, err)
+						return duty.Ended(ctx, err)
 					}
 					break // one plan at a time
 				}
@@ -67,13 +67,6 @@
 	}
 }
 
-func ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
-
 type worker struct {
 	c    *client.Client
 	http *http.Client
--- a/internal/salvage/salvage.go
+++ b/internal/salvage/salvage.go
@@ -62,14 +62,14 @@
 		for {
 			var all []registry.Order
 			if _, err := c.Do(ctx, http.MethodGet, registry.OrdersPath, nil, &all); err != nil {
-				return ended(ctx, err)
+				return duty.Ended(ctx, err)
 			}
 			for _, o := range all {
 				if o.Kind != Duty || o.Done || o.Wish == registry.WishPause {
 					continue
 				}
 				if err := one(ctx, g, platform, o); err != nil {
-					return ended(ctx, err)
+					return duty.Ended(ctx, err)
 				}
 			}
 			select {
@@ -81,14 +81,6 @@
 	}
 }
 
-// ended takes errors that come of the work's end for none of its own.
-func ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
-
 // one brings an order on. What keeps it from that is told in the order, and
 // tried again.
 func one(ctx context.Context, g *duty.Grant, platform *client.Client, o registry.Order) error {
