--- a/internal/lab/bench_duty.go
+++ b/internal/lab/bench_duty.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"troutusher/internal/duty"
+	"troutusher/internal/lab/link"
 	"troutusher/internal/lab/model"
 	"troutusher/internal/lab/process"
 	"troutusher/internal/registry"
@@ -29,6 +31,7 @@
 	TTL              []time.Duration
 	Kills            []int // of the holder, for each time to live
 	Handovers        int
+	Cuts             int // of the holder from all nodes, for each time to live
 	Duties           []int
 	Say              func(format string, args ...any)
 }
@@ -42,11 +45,81 @@
 	ttl   time.Duration
 	logs  *os.File
 	procs map[string]*process.Proc
+	links map[string][]*link.Link // of each warden to each node; none where nobody is cut off
 	c     *client.Client
 }
 
+// through puts links between a warden and the nodes.
+func (w *wardens) through(net *link.Net, name string) error {
+	for _, node := range w.b.http {
+		w.b.port += 2 // a node has two
+		l, err := net.Listen(name, node, fmt.Sprintf("%s:%d", w.b.ip, w.b.port), node, 1, nil)
+		if err != nil {
+			return fmt.Errorf("bench: %w", err)
+		}
+		w.links[name] = append(w.links[name], l)
+	}
+	return nil
+}
+
+// cut cuts a warden off, or heals it.
+func (w *wardens) cut(name string, on bool) {
+	for _, l := range w.links[name] {
+		l.Set(link.Forth, link.Faults{Cut: on})
+		l.Set(link.Back, link.Faults{Cut: on})
+	}
+}
+
+// cuts cuts the holder off again and again, and gives how long it took until the
+// next one held the duty.
+func (w *wardens) cuts(ctx context.Context, n int) (took []float64, err error) {
+	w.links = map[string][]*link.Link{}
+	defer func() {
+		for _, p := range w.procs {
+			p.Kill()
+		}
+		for _, all := range w.links {
+			for _, l := range all {
+				l.Close()
+			}
+		}
+	}()
+	net := link.NewNet()
+	for i := range benchWardens {
+		name := fmt.Sprint("w-", i)
+		if err := w.through(net, name); err != nil {
+			return nil, err
+		}
+		if err := w.start(name); err != nil {
+			return nil, err
+		}
+	}
+	token := int64(0)
+	for range n {
+		d, err := w.held(ctx, token, benchWardens)
+		if err != nil {
+			return took, err
+		}
+		model.Pause(ctx, w.ttl+200*time.Millisecond) // as in kills
+		began := time.Now()
+		w.cut(d.Warden, true)
+		_, err = w.held(ctx, d.Token, 0)
+		if err != nil {
+			return took, err
+		}
+		took = append(took, time.Since(began).Seconds()*1e3)
+		token = d.Token
+		w.cut(d.Warden, false)
+	}
+	return took, nil
+}
+
 func (w *wardens) start(name string) error {
-	p, err := process.Start(name, w.bin, []string{"--nodes", strings.Join(w.b.http, ","), "--name", name, "--ttl", w.ttl.String()}, nil, w.logs)
+	nodes := slices.Clone(w.b.http)
+	for i, l := range w.links[name] {
+		nodes[i] = l.Addr()
+	}
+	p, err := process.Start(name, w.bin, []string{"--nodes", strings.Join(nodes, ","), "--name", name, "--ttl", w.ttl.String()}, nil, w.logs)
 	if err != nil {
 		return err
 	}
@@ -118,7 +191,23 @@
 		return f(b, c, logs)
 	}
 	var g errgroup.Group // mostly they wait: side by side
+	for _, ttl := range o.TTL {
+		if o.Cuts == 0 {
+			break
+		}
+		g.Go(func() error {
+			return group("cut-"+ttl.String(), func(b *benchGroup, c *client.Client, logs *os.File) error {
+				w := &wardens{b: b, bin: o.Warden, ttl: ttl, logs: logs, procs: map[string]*process.Proc{}, c: c}
+				took, err := w.cuts(ctx, o.Cuts)
+				add(fmt.Sprintf("time to live %v: ms from the holder's cut to the next one", ttl), took)
+				return err
+			})
+		})
+	}
 	for i, ttl := range o.TTL {
+		if o.Kills[i] == 0 {
+			continue
+		}
 		g.Go(func() error {
 			return group("kill-"+ttl.String(), func(b *benchGroup, c *client.Client, logs *os.File) error {
 				w := &wardens{b: b, bin: o.Warden, ttl: ttl, logs: logs, procs: map[string]*process.Proc{}, c: c}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -547,6 +547,7 @@
 	d.Flags().DurationSliceVar(&o.TTL, "ttl", []time.Duration{time.Second, 2 * time.Second, 5 * time.Second}, "times to live")
 	d.Flags().IntSliceVar(&o.Kills, "kills", []int{100, 100, 100}, "kills of the holder, for each time to live")
 	d.Flags().IntVar(&o.Handovers, "handovers", 100, "hand-overs in order")
+	d.Flags().IntVar(&o.Cuts, "cuts", 50, "cuts of the holder from all nodes, for each time to live")
 	d.Flags().IntSliceVar(&o.Duties, "duties", []int{10, 100, 1000}, "duties whose cost is measured")
 	return d
 }
