Evacuate a zone, and put it back, by a duty

internal/zones is the duty zone-warden. An order drains one endpoint after the other at the rate asked for; what is drained next is noted under the duty's token first, so the next holder knows all that may be out. It is refused, with the figures, where a destination would keep less than a share of its endpoints by size, waits where others drain what was left, and one zone at a time is out unless it is forced.

--- a/internal/duty/command/command.go
+++ b/internal/duty/command/command.go
@@ -21,6 +21,7 @@
 	"troutusher/internal/registry/client"
 	"troutusher/internal/rollout"
 	"troutusher/internal/salvage"
+	"troutusher/internal/zones"
 )
 
 // Exit codes.
@@ -69,12 +70,12 @@
 				}
 				defer told.Close()
 			}
-			all := map[string]duty.Work{duty.ListKeeper: duty.KeepList, duty.Counter: duty.Count(log), salvage.Duty: salvage.Work(g, told), rollout.Duty: rollout.Work(g)}
+			all := map[string]duty.Work{duty.ListKeeper: duty.KeepList, duty.Counter: duty.Count(log), salvage.Duty: salvage.Work(g, told), rollout.Duty: rollout.Work(g), zones.Duty: zones.Work(g)}
 			work := map[string]duty.Work{}
 			for _, d := range duties {
 				w, ok := all[d]
 				if !ok {
-					return fmt.Errorf("%w: --duties: %q is unknown; list-keeper, salvage, rollout and count are known", errUsage, d)
+					return fmt.Errorf("%w: --duties: %q is unknown; list-keeper, salvage, rollout, zone-warden and count are known", errUsage, d)
 				}
 				work[d] = w
 			}
@@ -100,7 +101,7 @@
 	c.Flags().StringSliceVar(&nodes, "nodes", []string{"127.0.0.1:7800"}, "nodes of the list service")
 	c.Flags().StringVar(&name, "name", host, "this warden, for people")
 	c.Flags().DurationVar(&ttl, "ttl", 3*time.Second, "time to live of its session: another takes over so long after it was last heard of")
-	c.Flags().StringSliceVar(&duties, "duties", []string{duty.ListKeeper, salvage.Duty, rollout.Duty}, "what it may hold")
+	c.Flags().StringSliceVar(&duties, "duties", []string{duty.ListKeeper, salvage.Duty, rollout.Duty, zones.Duty}, "what it may hold")
 	c.Flags().StringVar(&operator, "operator", "", "where /v1/metrics is served; empty for nowhere")
 	c.Flags().StringVar(&platform, "platform", "", "where salvage tells how messages ended (POST /reports); empty for the list service, which counts them")
 	c.Flags().StringVar(&form, "log", "text", "text or json, on standard error")
--- /dev/null
+++ b/internal/lab/evacuate.go
@@ -0,0 +1,75 @@
+package lab
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"troutusher/internal/discovery"
+	"troutusher/internal/lab/model"
+	"troutusher/internal/registry"
+	"troutusher/internal/zones"
+)
+
+// strikeEvacuate has the wardens drain a zone, one endpoint after the other, and
+// put it back from when the fault is to be undone. Both have to come to their end
+// before the run does, with every endpoint up again.
+func (r *run) strikeEvacuate(ctx context.Context, s Step) error {
+	spec, err := json.Marshal(zones.Spec{Zone: s.Fault.Zone, Rate: cmp.Or(s.Fault.Rate, 2), Keep: cmp.Or(s.Fault.Factor, 0.5)})
+	if err != nil {
+		return fmt.Errorf("lab: evacuate: %w", err)
+	}
+	path := fmt.Sprintf("%s/%s/%s-%d", registry.OrdersPath, zones.Duty, s.Fault.Zone, s.At.Milliseconds())
+	wish := func(o registry.Order) error {
+		if _, err := r.group.client.Do(ctx, http.MethodPut, path, o, nil); err != nil {
+			return fmt.Errorf("lab: evacuate: %w", err)
+		}
+		return nil
+	}
+	var last registry.Order
+	until := func(ok func() bool) error {
+		for {
+			var all []registry.Order
+			if _, err := r.group.client.Do(ctx, http.MethodGet, registry.OrdersPath, nil, &all); err == nil {
+				for _, o := range all {
+					if strings.HasSuffix(path, "/"+o.Kind+"/"+o.Name) {
+						last = o
+					}
+				}
+			}
+			if ok() {
+				return nil
+			}
+			if !model.Pause(ctx, 50*time.Millisecond) || last.Done {
+				return fmt.Errorf("lab: evacuation of %s: not at its end: %s, %s", s.Fault.Zone, last.Says, last.Progress)
+			}
+		}
+	}
+	if err := wish(registry.Order{Spec: spec, Wish: registry.WishRun}); err != nil {
+		return err
+	}
+	if err := until(func() bool { return strings.HasPrefix(last.Says, "out: ") }); err != nil {
+		return err
+	}
+	r.hold(ctx, s)
+	if err := wish(registry.Order{Wish: registry.WishAbort}); err != nil {
+		return err
+	}
+	if err := until(func() bool { return last.Done && last.Says == "returned" }); err != nil {
+		return err
+	}
+	var members []registry.Member
+	if _, err := r.group.client.Do(ctx, http.MethodGet, registry.MembersPath+"?consistent=1", nil, &members); err != nil {
+		return fmt.Errorf("lab: evacuate: %w", err)
+	}
+	for _, m := range members {
+		if m.Phase != discovery.Up {
+			return fmt.Errorf("lab: evacuation of %s: %s is %s after the return", s.Fault.Zone, m.ID, m.Phase)
+		}
+	}
+	return nil
+}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -62,6 +62,8 @@
 		r.strikePartners(ctx, s)
 	case "fleet":
 		return r.strikeRollout(ctx)
+	case "zone":
+		return r.strikeEvacuate(ctx, s)
 	case "warden":
 		return r.group.strikeWardens(ctx, s)
 	case "node", "registration", "group":
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -108,8 +108,8 @@
 	Folder string   `toml:"folder"` // kill, term: what the next process finds
 	File   string   `toml:"file"`   // damage: in the relay's folder
 	MS     float64  `toml:"ms"`     // delay
-	Factor float64  `toml:"factor"` // slow, limits
-	Rate   float64  `toml:"rate"`   // turnaway, throttle
+	Factor float64  `toml:"factor"` // slow, limits; evacuate: share that each destination keeps, 0.5 where it is left out
+	Rate   float64  `toml:"rate"`   // turnaway, throttle; evacuate: endpoints a second, 2 where it is left out
 	Kinds  []string `toml:"kinds"`  // partners of these kinds alone
 	Node   string   `toml:"node"`   // node-*: leader, follower or all, in place of a draw
 	Duty   string   `toml:"duty"`   // warden-*: whose holder is struck; count where it is left out
@@ -126,7 +126,7 @@
 	"turnaway": "discovery", "quiet": "discovery",
 	"node-kill": "node", "node-pause": "node", "node-cut": "node", "lapse": "registration", "restore": "group",
 	"warden-kill": "warden", "warden-pause": "warden", "warden-cut": "warden", "rollout": "fleet",
-	"salvage": "relay",
+	"salvage": "relay", "evacuate": "zone",
 }
 
 // Damage are the kinds that spoil a file while its relay is down.
@@ -409,9 +409,12 @@
 			return "cells", fmt.Sprintf("%d; from 0 to %d is allowed", n, s.Part.Destinations-1)
 		}
 	}
-	if (target == "warden" || target == "fleet" || f.Kind == "salvage") && s.Registry.Wardens == 0 {
+	if (target == "warden" || target == "fleet" || target == "zone" || f.Kind == "salvage") && s.Registry.Wardens == 0 {
 		return "kind", f.Kind + " wants wardens: registry.wardens is 0"
 	}
+	if target == "zone" && f.Zone == "" {
+		return "zone", "none; evacuate wants one"
+	}
 	if f.Node == "holder" && target != "warden" {
 		return "node", "holder is of warden-* alone"
 	}
--- a/internal/lab/wardens.go
+++ b/internal/lab/wardens.go
@@ -24,6 +24,7 @@
 	"troutusher/internal/registry"
 	"troutusher/internal/rollout"
 	"troutusher/internal/salvage"
+	"troutusher/internal/zones"
 )
 
 // warden is one warden, over all of its processes. It asks each node through a
@@ -77,7 +78,7 @@
 	}
 	p, err := process.Start(w.name, r.opts.Warden, []string{"--nodes", strings.Join(nodes, ","), "--name", w.name,
 		"--drill-clock", scenario.Turn(r.scen.Registry.WardenClocks, w.num), "--platform", w.group.platform.Addr(),
-		"--ttl", scenario.Secs(r.scen.Registry.WardenTTL).String(), "--duties", strings.Join([]string{duty.ListKeeper, duty.Counter, rollout.Duty, salvage.Duty}, ",")}, nil, w.log)
+		"--ttl", scenario.Secs(r.scen.Registry.WardenTTL).String(), "--duties", strings.Join([]string{duty.ListKeeper, duty.Counter, rollout.Duty, salvage.Duty, zones.Duty}, ",")}, nil, w.log)
 	if err != nil {
 		return err
 	}
--- a/internal/registry/command/ctl.go
+++ b/internal/registry/command/ctl.go
@@ -19,6 +19,7 @@
 	"troutusher/internal/registry"
 	"troutusher/internal/registry/client"
 	"troutusher/internal/rollout"
+	"troutusher/internal/zones"
 )
 
 // ctl is what all commands of troutctl share.
@@ -353,10 +354,84 @@
 	set := &cobra.Command{Use: "set ZONE REGION", Short: "Put a zone into a region; \"\" for none", Args: exactly(2), RunE: func(c *cobra.Command, args []string) error {
 		return x.change(c, http.MethodPost, registry.ZonesPath, registry.Zone{Name: args[0], Region: args[1]})
 	}}
-	c.AddCommand(list, set)
+	spec := zones.Spec{}
+	var dry bool
+	evacuate := &cobra.Command{Use: "evacuate ZONE", Short: "Drain its endpoints one by one, if the other zones keep enough", Args: exactly(1), RunE: func(c *cobra.Command, args []string) error {
+		spec.Zone = args[0]
+		if err := spec.Check(); err != nil {
+			return usageError{fmt.Errorf("--%w", err)}
+		}
+		if dry {
+			return x.wouldEvacuate(c, &spec)
+		}
+		if o, err := x.evacuation(c, spec.Zone); err != nil {
+			return err
+		} else if o != nil {
+			return fmt.Errorf("zone %s is being evacuated already, by %s", spec.Zone, o.Name)
+		}
+		text, err := json.Marshal(spec)
+		if err != nil {
+			return err
+		}
+		return x.order(c, zones.Duty, fmt.Sprintf("%s-%s", spec.Zone, time.Now().UTC().Format("20060102T150405")), registry.Order{Spec: text, Wish: registry.WishRun})
+	}}
+	evacuate.Flags().Float64Var(&spec.Rate, "rate", 0.2, "endpoints a second")
+	evacuate.Flags().Float64Var(&spec.Keep, "keep", 0.5, "share of its endpoints, by size, that each destination has to keep")
+	evacuate.Flags().BoolVar(&spec.Force, "force", false, "whatever would be left, and whichever zone is out already")
+	evacuate.Flags().BoolVar(&dry, "dry-run", false, "tell what each destination would keep, and do nothing")
+	wish := func(use, short, wish string) *cobra.Command {
+		return &cobra.Command{Use: use + " ZONE", Short: short, Args: exactly(1), RunE: func(c *cobra.Command, args []string) error {
+			o, err := x.evacuation(c, args[0])
+			if err != nil {
+				return err
+			}
+			if o == nil {
+				return fmt.Errorf("zone %s is not being evacuated", args[0])
+			}
+			return x.order(c, zones.Duty, o.Name, registry.Order{Wish: wish})
+		}}
+	}
+	c.AddCommand(list, set, evacuate, x.orders(zones.Duty), wish("return", "Put back, one by one, what its evacuation has drained", registry.WishAbort),
+		wish("hold", "Leave its evacuation as it stands for now", registry.WishPause), wish("resume", "Drain on, after a hold or in place of a return", registry.WishRun))
 	return c
 }
 
+// evacuation is the order under way for a zone; nil for none.
+func (x *ctl) evacuation(c *cobra.Command, zone string) (*registry.Order, error) {
+	var all []registry.Order
+	if _, err := x.ask(c, http.MethodGet, registry.OrdersPath, nil, &all); err != nil {
+		return nil, err
+	}
+	for _, o := range all {
+		var s zones.Spec
+		if o.Kind == zones.Duty && !o.Done && json.Unmarshal(o.Spec, &s) == nil && s.Zone == zone {
+			return &o, nil
+		}
+	}
+	return nil, nil
+}
+
+// wouldEvacuate tells what each destination of a zone would keep.
+func (x *ctl) wouldEvacuate(c *cobra.Command, s *zones.Spec) error {
+	var members []registry.Member
+	if _, err := x.ask(c, http.MethodGet, registry.MembersPath+"?consistent=1", nil, &members); err != nil {
+		return err
+	}
+	rooms := zones.Rooms(members, s.Zone)
+	if err := x.show(c, rooms, func(w io.Writer) {
+		fmt.Fprintln(w, "DESTINATION\tNOW\tLEFT\tENOUGH")
+		for _, r := range rooms {
+			fmt.Fprintf(w, "%d\t%.3g\t%.3g\t%v\n", r.Cell, r.Now, r.Left, r.Keeps(s.Keep))
+		}
+	}); err != nil {
+		return err
+	}
+	if short := zones.Short(rooms, s.Keep); len(short) > 0 && !s.Force {
+		return fmt.Errorf("%d destinations would not keep %.3g of their endpoints", len(short), s.Keep)
+	}
+	return nil
+}
+
 func (x *ctl) lapses() *cobra.Command {
 	c := &cobra.Command{Use: "lapses", Short: "Lapses that are held back, since too many came at once"}
 	confirm := &cobra.Command{Use: "confirm", Short: "Let them lapse", Args: exactly(0), RunE: func(c *cobra.Command, _ []string) error {
--- /dev/null
+++ b/internal/zones/zones_test.go
@@ -0,0 +1,260 @@
+package zones
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"troutusher/internal/discovery"
+	"troutusher/internal/duty"
+	"troutusher/internal/loopback"
+	"troutusher/internal/registry"
+	"troutusher/internal/registry/client"
+)
+
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// fleet is a list service with endpoints in zones a, b and c.
+type fleet struct {
+	t    *testing.T
+	addr string
+	c    *client.Client
+}
+
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	c := registry.DefaultConfig()
+	c.Data, c.Listen, c.Raft = filepath.Join(t.TempDir(), "data"), loopback.Free(), loopback.Free()
+	c.Peers = []registry.Peer{{ID: c.ID, Raft: c.Raft, HTTP: c.Listen}}
+	n, err := registry.Start(&c, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	f := &fleet{t: t, addr: c.Listen}
+	f.c = f.client()
+	return f
+}
+
+func (f *fleet) client() *client.Client {
+	c, err := client.New([]string{f.addr}, 1, quiet())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(c.Close)
+	return c
+}
+
+func (f *fleet) do(method, path string, body, out any) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if _, err := f.c.Do(ctx, method, path, body, out); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) add(zone string, cell, n int) {
+	for i := range n {
+		f.do(http.MethodPost, registry.MembersPath, registry.Registration{ID: fmt.Sprintf("%s-%d-%d", zone, cell, i), Address: fmt.Sprintf("127.0.0.1:%d", 1000+cell*100+int(zone[0]%8)*10+i),
+			Zone: zone, Flavor: "agent", Cell: cell}, nil)
+	}
+}
+
+// drained are the members that are not up, by id.
+func (f *fleet) drained() (ids []string) {
+	var all []registry.Member
+	f.do(http.MethodGet, registry.MembersPath, nil, &all)
+	for _, m := range all {
+		if m.Phase != discovery.Up {
+			ids = append(ids, m.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (f *fleet) order(name string, s *Spec, wish string) {
+	f.t.Helper()
+	o := registry.Order{Wish: wish}
+	if s != nil {
+		o.Spec, _ = json.Marshal(s) // strings and numbers alone
+	}
+	f.do(http.MethodPut, registry.OrdersPath+"/"+Duty+"/"+name, o, nil)
+}
+
+func (f *fleet) says(name string) (o registry.Order) {
+	var all []registry.Order
+	f.do(http.MethodGet, registry.OrdersPath, nil, &all)
+	for _, x := range all {
+		if x.Name == name {
+			o = x
+		}
+	}
+	return o
+}
+
+func (f *fleet) wait(what string, cond func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	f.t.Fatalf("never came: %s", what)
+}
+
+func (f *fleet) warden(name string) (stop func()) {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	done, c := make(chan struct{}), f.client()
+	go func() {
+		defer close(done)
+		if err := duty.Run(ctx, duty.Options{Client: c, Warden: name, TTL: 3 * time.Second, Duties: map[string]duty.Work{Duty: Work(c)}, Log: quiet()}); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	stop = sync.OnceFunc(func() { cancel(); <-done })
+	f.t.Cleanup(stop)
+	return stop
+}
+
+// What a destination keeps counts by size, over what is up; one that lives in one
+// zone only keeps nothing.
+func TestRooms(t *testing.T) {
+	var all []registry.Member
+	add := func(zone string, cell int, size float64, phase string) {
+		all = append(all, registry.Member{Member: discovery.Member{ID: fmt.Sprint(len(all)), Locality: zone, Cell: cell, Size: size, Phase: phase}})
+	}
+	add("a", 1, 2, discovery.Up)
+	add("b", 1, 1, discovery.Up)
+	add("c", 1, 1, discovery.Draining)
+	add("b", 2, 0, discovery.Up)
+	add("a", 3, 1, discovery.Up)
+	rooms := Rooms(all, "b")
+	if want := []Room{{1, 3, 2}, {2, 1, 0}}; !slices.Equal(rooms, want) {
+		t.Errorf("%v, want %v", rooms, want)
+	}
+	if short := Short(rooms, 0.5); len(short) != 1 || short[0].Cell != 2 {
+		t.Errorf("short: %v", short)
+	}
+	if short := Short(rooms, 0.7); len(short) != 2 {
+		t.Errorf("short: %v", short)
+	}
+	if len(Rooms(all, "d")) != 0 {
+		t.Error("a zone with nothing up has rooms")
+	}
+}
+
+// Out and back, with a holder that leaves in each: all of the zone, nothing else,
+// one by one; what an operator had drained before stays so.
+func TestOutAndBackOverHolders(t *testing.T) {
+	f := startFleet(t)
+	for cell := range 4 {
+		f.add("a", cell, 1)
+		f.add("b", cell, 2)
+	}
+	f.add("a", 0, 2) // the second is another of that zone
+	f.do(http.MethodPost, registry.MembersPath+"/b-3-1/phase", map[string]string{"phase": discovery.Draining}, nil)
+	f.order("one", &Spec{Zone: "b", Rate: 8, Keep: 0.3}, registry.WishRun)
+	stop := f.warden("w1")
+	f.wait("two are out", func() bool { return len(f.drained()) >= 3 })
+	stop()
+	f.warden("w2")
+	f.wait("all are out", func() bool { return strings.HasPrefix(f.says("one").Says, "out: all 7") })
+	if got := f.drained(); len(got) != 8 || slices.ContainsFunc(got, func(id string) bool { return id[0] != 'b' }) {
+		t.Errorf("drained: %v", got)
+	}
+	f.order("one", nil, registry.WishAbort)
+	f.wait("one is back", func() bool { return len(f.drained()) < 8 })
+	f.order("one", nil, registry.WishPause)
+	f.wait("held", func() bool { return f.says("one").Says == "held" })
+	held := f.drained()
+	time.Sleep(500 * time.Millisecond) // four steps' time, in which none may be done
+	if got := f.drained(); !slices.Equal(got, held) {
+		t.Errorf("held at %v, went on to %v", held, got)
+	}
+	f.order("one", nil, registry.WishAbort)
+	f.wait("returned", func() bool { o := f.says("one"); return o.Done && o.Says == "returned" })
+	if got := f.drained(); !slices.Equal(got, []string{"b-3-1"}) {
+		t.Errorf("not up after the return: %v", got)
+	}
+}
+
+// Refused with the figures where a destination would keep too little; forced, it is
+// done all the same.
+func TestRefusedUnlessForced(t *testing.T) {
+	f := startFleet(t)
+	f.add("a", 1, 1)
+	f.add("b", 1, 1)
+	f.add("b", 2, 1) // lives there alone
+	f.warden("w1")
+	f.order("no", &Spec{Zone: "b", Rate: 20, Keep: 0.5}, registry.WishRun)
+	f.wait("refused", func() bool { return f.says("no").Done })
+	if says := f.says("no").Says; says != "refused: destination 2 would keep 0 of 1; 0.5 of it is wanted" || len(f.drained()) != 0 {
+		t.Errorf("%q, drained %v", says, f.drained())
+	}
+	f.order("yes", &Spec{Zone: "b", Rate: 20, Keep: 0.5, Force: true}, registry.WishRun)
+	f.wait("forced", func() bool { return len(f.drained()) == 2 })
+	f.order("bad", &Spec{Zone: "b", Rate: 0}, registry.WishRun)
+	f.wait("told what is wrong", func() bool { return strings.Contains(f.says("bad").Says, "rate: 0") })
+}
+
+// One zone at a time, unless it is forced; and where others drain what was left
+// meanwhile, the evacuation waits.
+func TestOneZoneAtATime(t *testing.T) {
+	f := startFleet(t)
+	for _, zone := range []string{"a", "b", "c"} {
+		f.add(zone, 1, 2)
+	}
+	f.order("first", &Spec{Zone: "b", Rate: 4, Keep: 0.6}, registry.WishRun)
+	f.warden("w1")
+	f.wait("one is out", func() bool { return len(f.drained()) == 1 })
+	f.order("second", &Spec{Zone: "c", Rate: 20, Keep: 0.1}, registry.WishRun)
+	f.wait("the second waits", func() bool { return f.says("second").Says == "waits: first is out" })
+	f.do(http.MethodPost, registry.MembersPath+"/a-1-0/phase", map[string]string{"phase": discovery.Draining}, nil)
+	f.do(http.MethodPost, registry.MembersPath+"/c-1-0/phase", map[string]string{"phase": discovery.Draining}, nil)
+	f.wait("the first waits, or was done before", func() bool {
+		says := f.says("first").Says
+		return strings.HasPrefix(says, "waits: destination 1") || strings.HasPrefix(says, "out: ")
+	})
+	f.order("first", nil, registry.WishAbort)
+	f.wait("the second is out", func() bool { return strings.HasPrefix(f.says("second").Says, "out: ") })
+	if got := f.drained(); !slices.Equal(got, []string{"a-1-0", "c-1-0", "c-1-1"}) {
+		t.Errorf("drained: %v", got)
+	}
+	f.order("third", &Spec{Zone: "a", Rate: 20, Keep: 0.1, Force: true}, registry.WishRun)
+	f.wait("a forced one does not wait", func() bool { return strings.HasPrefix(f.says("third").Says, "out: ") })
+}
+
+// A step under an older token is refused: a holder that was paused drains nothing.
+func TestAnOlderTokenDrainsNothing(t *testing.T) {
+	f := startFleet(t)
+	f.add("a", 1, 1)
+	f.add("b", 1, 1)
+	var old *duty.Grant
+	got := make(chan struct{})
+	stop := func(w duty.Work) func() {
+		ctx, cancel := context.WithCancel(t.Context())
+		done, c := make(chan struct{}), f.client()
+		go func() {
+			defer close(done)
+			duty.Run(ctx, duty.Options{Client: c, Warden: "w", TTL: 3 * time.Second, Duties: map[string]duty.Work{Duty: w}, Log: quiet()}) // ends by its context
+		}()
+		return func() { cancel(); <-done }
+	}(func(ctx context.Context, g *duty.Grant) error { old = g; close(got); <-ctx.Done(); return nil })
+	<-got
+	stop()
+	w := &worker{c: f.c, g: old, due: map[string]time.Time{}}
+	if err := w.phase(context.Background(), "b-1-0", discovery.Draining); !errors.Is(err, duty.ErrLost) || len(f.drained()) != 0 {
+		t.Errorf("%v, drained %v", err, f.drained())
+	}
+}
