--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -9,7 +9,6 @@
 	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -18,55 +17,31 @@
 	"time"
 
 	"troutusher/internal/clock"
-	"troutusher/internal/loopback"
 	"troutusher/internal/registry"
 	"troutusher/internal/registry/client"
+	"troutusher/internal/registry/registrytest"
 )
 
-func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+var quiet, waitFor = registrytest.Quiet, registrytest.WaitFor
 
-func waitFor(t *testing.T, what string, cond func() bool) {
+func startNode(t *testing.T, tune func(*registry.Config)) (g *registrytest.Group, addr string) {
 	t.Helper()
-	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		if cond() {
-			return
-		}
-	}
-	t.Fatalf("never came: %s", what)
+	g = registrytest.Start(t, 1, tune)
+	return g, g.Addrs[0]
 }
 
-func startNode(t *testing.T, tune func(*registry.Config)) (n *registry.Node, addr string) {
-	t.Helper()
-	c := registry.DefaultConfig()
-	c.Data, c.Listen, c.Raft = filepath.Join(t.TempDir(), "data"), loopback.Free(), loopback.Free()
-	c.Peers = []registry.Peer{{ID: c.ID, Raft: c.Raft, HTTP: c.Listen}}
-	if tune != nil {
-		tune(&c)
-	}
-	n, err := registry.Start(&c, quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(n.Close)
-	return n, c.Listen
-}
+func newClient(t *testing.T, addr string) *client.Client { return registrytest.Client(t, addr) }
 
-func newClient(t *testing.T, addr string) *client.Client {
+// warden runs one until the test ends; stop has it leave in order.
+func warden(t *testing.T, addr, name string, ttl time.Duration, duties map[string]Work) (stop func()) {
 	t.Helper()
-	c, err := client.New([]string{addr}, 1, quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(c.Close)
-	return c
+	return wardenOf(t, newClient(t, addr), name, ttl, duties)
 }
 
-// warden runs one until the test ends; stop has it leave in order.
-func warden(t *testing.T, addr, name string, ttl time.Duration, duties map[string]Work) (stop func()) {
+func wardenOf(t *testing.T, c *client.Client, name string, ttl time.Duration, duties map[string]Work) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	c := newClient(t, addr)
 	go func() {
 		defer close(done)
 		if err := Run(ctx, Options{Client: c, Warden: name, TTL: ttl, Duties: duties, Log: quiet()}); err != nil {
--- a/internal/duty/group_test.go
+++ b/internal/duty/group_test.go
@@ -4,115 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
-	"path/filepath"
 	"strconv"
 	"sync"
 	"testing"
 	"time"
 
-	"troutusher/internal/loopback"
-	"troutusher/internal/registry"
-	"troutusher/internal/registry/client"
+	"troutusher/internal/registry/registrytest"
 )
 
-// stores is a group of three nodes that can be stopped and started again.
-type stores struct {
-	t     *testing.T
-	addrs []string
-	cfgs  []*registry.Config
-	nodes []*registry.Node
-}
-
-func startStores(t *testing.T) *stores {
-	s := &stores{t: t, nodes: make([]*registry.Node, 3)}
-	var peers []registry.Peer
-	for i := range s.nodes {
-		peers = append(peers, registry.Peer{ID: fmt.Sprint("r", i), Raft: loopback.Free(), HTTP: loopback.Free()})
-	}
-	for _, p := range peers {
-		c := registry.DefaultConfig()
-		c.ID, c.Data, c.Listen, c.Raft, c.Peers = p.ID, filepath.Join(t.TempDir(), "data"), p.HTTP, p.Raft, peers
-		s.cfgs, s.addrs = append(s.cfgs, &c), append(s.addrs, p.HTTP)
-	}
-	for i := range s.nodes {
-		s.start(i)
-	}
-	t.Cleanup(func() {
-		for i := range s.nodes {
-			s.stop(i)
-		}
-	})
-	return s
-}
-
-func (s *stores) start(i int) {
-	s.t.Helper()
-	n, err := registry.Start(s.cfgs[i], quiet())
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.nodes[i] = n
-}
-
-func (s *stores) stop(i int) {
-	if s.nodes[i] != nil {
-		s.nodes[i].Close()
-		s.nodes[i] = nil
-	}
-}
-
-func (s *stores) client() *client.Client {
-	s.t.Helper()
-	c, err := client.New(s.addrs, 1, quiet())
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(c.Close)
-	return c
-}
-
-// leader waits for the node that says it leads.
-func (s *stores) leader() (at int) {
-	s.t.Helper()
-	waitFor(s.t, "a leader", func() bool {
-		for i, n := range s.nodes {
-			if n == nil {
-				continue
-			}
-			one, err := client.New(s.addrs[i:i+1], 1, quiet())
-			if err != nil {
-				s.t.Fatal(err)
-			}
-			ctx, cancel := context.WithTimeout(s.t.Context(), time.Second)
-			var x registry.Status
-			_, err = one.Do(ctx, http.MethodGet, registry.StatusPath, nil, &x)
-			cancel()
-			one.Close()
-			if err == nil && x.Role == "Leader" {
-				at = i
-				return true
-			}
-		}
-		return false
-	})
-	return at
-}
-
-func (s *stores) warden(name string, ttl time.Duration, w Work) (stop func()) {
-	ctx, cancel := context.WithCancel(s.t.Context())
-	done, c := make(chan struct{}), s.client()
-	go func() {
-		defer close(done)
-		if err := Run(ctx, Options{Client: c, Warden: name, TTL: ttl, Duties: map[string]Work{"d": w}, Log: quiet()}); err != nil {
-			s.t.Error(err)
-		}
-	}()
-	stop = sync.OnceFunc(func() { cancel(); <-done })
-	s.t.Cleanup(stop)
-	return stop
-}
-
 // steps are the effects that holders heard to have counted.
 type steps struct {
 	mu      sync.Mutex
@@ -175,19 +74,19 @@
 // which each grant lasts for a few steps changes hands all the time. No step
 // counts twice, and it goes on after each change.
 func TestTheLeaderChangesDuringGrantsAndReleases(t *testing.T) {
-	s, all := startStores(t), newSteps()
-	s.leader()
+	s, all := registrytest.Start(t, 3, nil), newSteps()
+	s.Leader()
 	for i := range 3 {
-		s.warden(fmt.Sprint("w", i), 400*time.Millisecond, all.work(4))
+		wardenOf(t, s.Client(), fmt.Sprint("w", i), 400*time.Millisecond, map[string]Work{"d": all.work(4)})
 	}
 	for range 3 {
 		before := all.count()
 		waitFor(t, "steps", func() bool { return all.count() > before+8 })
-		i := s.leader()
-		s.stop(i)
+		i := s.Leader()
+		s.Stop(i)
 		before = all.count()
 		waitFor(t, "steps under the next leader", func() bool { return all.count() > before+8 })
-		s.start(i)
+		s.Start(i)
 	}
 	all.sound(t)
 }
@@ -195,16 +94,16 @@
 // No majority for many times the lease: the work ends by itself, nobody else
 // begins, and what is left of the store grants nothing. All resumes by itself.
 func TestNoMajority(t *testing.T) {
-	s, all := startStores(t), newSteps()
-	s.leader()
+	s, all := registrytest.Start(t, 3, nil), newSteps()
+	s.Leader()
 	const ttl = time.Second
 	for i := range 3 {
-		s.warden(fmt.Sprint("w", i), ttl, all.work(1<<30))
+		wardenOf(t, s.Client(), fmt.Sprint("w", i), ttl, map[string]Work{"d": all.work(1 << 30)})
 	}
 	waitFor(t, "steps", func() bool { return all.count() > 5 })
 	gone := []int{0, 1}
 	for _, i := range gone {
-		s.stop(i)
+		s.Stop(i)
 	}
 	waitFor(t, "the holder ends its work", func() bool { all.mu.Lock(); defer all.mu.Unlock(); return all.working == 0 })
 	stood := all.count()
@@ -215,7 +114,7 @@
 	}
 	all.mu.Unlock()
 	for _, i := range gone {
-		s.start(i)
+		s.Start(i)
 	}
 	waitFor(t, "steps again", func() bool { return all.count() > stood+5 })
 	all.sound(t)
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net/http"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -16,13 +14,11 @@
 
 	"troutusher/internal/discovery"
 	"troutusher/internal/duty"
-	"troutusher/internal/loopback"
 	"troutusher/internal/registry"
 	"troutusher/internal/registry/client"
+	"troutusher/internal/registry/registrytest"
 )
 
-func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
-
 // fleet is a list service with endpoints in zones a, b and c.
 type fleet struct {
 	t    *testing.T
@@ -32,27 +28,11 @@
 
 func startFleet(t *testing.T) *fleet {
 	t.Helper()
-	c := registry.DefaultConfig()
-	c.Data, c.Listen, c.Raft = filepath.Join(t.TempDir(), "data"), loopback.Free(), loopback.Free()
-	c.Peers = []registry.Peer{{ID: c.ID, Raft: c.Raft, HTTP: c.Listen}}
-	n, err := registry.Start(&c, quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(n.Close)
-	f := &fleet{t: t, addr: c.Listen}
-	f.c = f.client()
-	return f
+	g := registrytest.Start(t, 1, nil)
+	return &fleet{t: t, addr: g.Addrs[0], c: g.Client()}
 }
 
-func (f *fleet) client() *client.Client {
-	c, err := client.New([]string{f.addr}, 1, quiet())
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	f.t.Cleanup(c.Close)
-	return c
-}
+func (f *fleet) client() *client.Client { return registrytest.Client(f.t, f.addr) }
 
 func (f *fleet) do(method, path string, body, out any) {
 	f.t.Helper()
@@ -105,12 +85,7 @@
 
 func (f *fleet) wait(what string, cond func() bool) {
 	f.t.Helper()
-	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if cond() {
-			return
-		}
-	}
-	f.t.Fatalf("never came: %s", what)
+	registrytest.WaitFor(f.t, what, cond)
 }
 
 func (f *fleet) warden(name string) (stop func()) {
@@ -118,7 +93,7 @@
 	done, c := make(chan struct{}), f.client()
 	go func() {
 		defer close(done)
-		if err := duty.Run(ctx, duty.Options{Client: c, Warden: name, TTL: 3 * time.Second, Duties: map[string]duty.Work{Duty: Work(c)}, Log: quiet()}); err != nil {
+		if err := duty.Run(ctx, duty.Options{Client: c, Warden: name, TTL: 3 * time.Second, Duties: map[string]duty.Work{Duty: Work(c)}, Log: registrytest.Quiet()}); err != nil {
 			f.t.Error(err)
 		}
 	}()
@@ -247,7 +222,7 @@
 		done, c := make(chan struct{}), f.client()
 		go func() {
 			defer close(done)
-			duty.Run(ctx, duty.Options{Client: c, Warden: "w", TTL: 3 * time.Second, Duties: map[string]duty.Work{Duty: w}, Log: quiet()}) // ends by its context
+			duty.Run(ctx, duty.Options{Client: c, Warden: "w", TTL: 3 * time.Second, Duties: map[string]duty.Work{Duty: w}, Log: registrytest.Quiet()}) // ends by its context
 		}()
 		return func() { cancel(); <-done }
 	}(func(ctx context.Context, g *duty.Grant) error { old = g; close(got); <-ctx.Done(); return nil })
