Judge a swallowed call by when it was sent, not by when its connection ended

Ruled out: a call after the notice: the relay gives up at the deadline, 8 s before. A link tells of a call that it swallowed when its connection ends (link/conn.go:90), here 8 s later, and the judge took that for when it was sent (judge.go:301, e.From = e.T). The link knows when the first byte came; it now tells that with the call, and the judge goes by it, for the rule on drains as well.

Measured: the test of the judge has the same call sent before and after the notice, and wants only the second broken.

--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -27,7 +27,7 @@
 	Failed   Kind = "failed"  // the client heard another error [Relay Msg Text]
 	Unheard  Kind = "unheard" // the client gave up, or its connection ended, with no answer [Relay Msg Text]
 	Call     Kind = "call"    // the last byte of a call came to an endpoint [Call Relay Endpoint Dest Msgs From]
-	Lost     Kind = "lost"    // a relay wrote a whole call, and a link swallowed it [Relay Endpoint Msgs]
+	Lost     Kind = "lost"    // a relay wrote a whole call, and a link swallowed it, told when its connection ends [Relay Endpoint Msgs From]
 	Ran      Kind = "ran"     // a message took effect [Call Endpoint Msg]
 	Answer   Kind = "answer"  // an endpoint wrote its answer [Call Status Wait States]
 	Heard    Kind = "heard"   // the last byte of that answer was written to the relay [Call]
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -298,7 +298,9 @@
 		j.calls[e.Call] = c
 	} else {
 		c.ended = e // nothing of it is out any more
-		e.From = e.T
+		if e.From == 0 {
+			e.From = e.T
+		}
 	}
 	p := j.relay(e.Relay)
 	j.waits(p, e)
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -96,6 +96,22 @@
 	}
 }
 
+// TestSwallowedIsJudgedByWhenItWasSent: a link tells of a swallowed call when its
+// connection ends, which may be long after the message's end.
+func TestSwallowedIsJudgedByWhenItWasSent(t *testing.T) {
+	for from, broken := range map[int64]bool{1e6: false, 12e6: true} {
+		s := (&script{}).start()
+		s.take("m", alert, 8e6)
+		s.at(9e6)
+		s.add(history.Event{Kind: history.Notice, Relay: "n1", Msg: "m", Text: "given_up"})
+		s.at(17e6)
+		s.add(history.Event{Kind: history.Lost, Relay: "n1", Endpoint: "e", Dest: 1, Msgs: []string{"m"}, From: from})
+		if v := judgeAll(s.events); (v.Counts["after-end"] > 0) != broken {
+			t.Errorf("sent at %d µs: %v", from, v.Broken)
+		}
+	}
+}
+
 // TestEffectIsCountedAtTheEndpoint, whatever the relay believes.
 func TestEffectIsCountedAtTheEndpoint(t *testing.T) {
 	s := (&script{}).start()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -380,12 +380,12 @@
 
 // swallowed records a call that a relay wrote whole and that a link never let
 // through: the relay cannot know that it did not run.
-func (r *run) swallowed(l *link.Link, written []byte) {
+func (r *run) swallowed(l *link.Link, written []byte, first time.Time) {
 	ids, whole := model.CallsIn(written)
 	if !whole {
 		return // the relay itself saw the connection end before its last byte
 	}
-	e := history.Event{Kind: history.Lost, Relay: l.From, Endpoint: l.To, Msgs: ids}
+	e := history.Event{Kind: history.Lost, Relay: l.From, Endpoint: l.To, Msgs: ids, From: r.rec.At(first)}
 	for _, x := range r.ends {
 		if x.ID == l.To {
 			e.Dest = x.Partner.Cell
--- a/internal/lab/link/conn.go
+++ b/internal/lab/link/conn.go
@@ -85,10 +85,10 @@
 	c.near.Close()
 	c.far.Close()
 	c.mu.Lock()
-	written, passed := c.written, c.passed
+	written, passed, first := c.written, c.passed, c.first
 	c.mu.Unlock()
 	if passed < len(written) && c.link.swallowed != nil {
-		c.link.swallowed(c.link, written)
+		c.link.swallowed(c.link, written, first)
 	}
 }
 
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -73,8 +73,9 @@
 }
 
 // Swallowed tells of bytes of a call that never got through: all that the
-// connecting side wrote since it last heard an answer.
-type Swallowed func(l *Link, written []byte)
+// connecting side wrote since it last heard an answer, and when its first byte
+// came. It is told when the connection ends, which may be long after.
+type Swallowed func(l *Link, written []byte, first time.Time)
 
 // Link is a proxy from one process to another.
 type Link struct {
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -141,7 +141,7 @@
 
 func TestWhatNeverGotThroughIsTold(t *testing.T) {
 	told := make(chan string, 1)
-	l := testLink(t, func(_ *Link, written []byte) { told <- string(written) })
+	l := testLink(t, func(_ *Link, written []byte, _ time.Time) { told <- string(written) })
 	c := dial(t, l)
 	ask(t, c, "heard")
 	l.Set(Forth, Faults{Cut: true})
