--- a/internal/lab/judge/duty.go
+++ b/internal/lab/judge/duty.go
@@ -81,25 +81,13 @@
 // fenced judges that what the holders of a duty asked for, each in its span, has
 // an order that a fenced register explains.
 func (j *Judge) fenced(name string, all []history.Event) {
-	clients := map[string]int{}
-	var ops []porcupine.Operation
+	var spans []span
 	for _, e := range all {
-		if _, ok := clients[e.Relay]; !ok {
-			clients[e.Relay] = len(clients)
+		s := span{from: e.From, to: e.Due}
+		if e.Phase == history.Unanswered {
+			s.to = math.MaxInt64
 		}
-		op := porcupine.Operation{ClientId: clients[e.Relay], Input: e, Call: e.From, Return: e.Due}
-		if e.Phase == history.Unanswered { // it may have counted at any later moment, or never
-			op.ClientId, op.Return = len(all)+len(ops), math.MaxInt64
-		}
-		ops = append(ops, op)
-	}
-	switch porcupine.CheckOperationsTimeout(fencedRegister, ops, linearMost) {
-	case porcupine.Ok:
-		j.v.Judged["fenced"] += len(ops)
-	case porcupine.Unknown:
-		j.v.Excused["steps whose order was not found in time"] += len(ops)
-	case porcupine.Illegal:
-		j.judged("fenced")
-		j.broken("fenced", name, "", fmt.Sprintf("no order of %d steps explains what counted and what was refused", len(ops)), all[0], all[len(all)-1])
+		spans = append(spans, s)
 	}
+	j.ordered("fenced", name, fencedRegister, all, spans)
 }
--- a/internal/lab/judge/list.go
+++ b/internal/lab/judge/list.go
@@ -68,33 +68,47 @@
 
 // linear judges that the operations have an order that explains every answer.
 func (j *Judge) linear() {
-	if len(j.list.ops) == 0 {
+	var ops []history.Event
+	var spans []span
+	for _, e := range j.list.ops {
+		if e.Status == 0 && e.Text == "read" {
+			continue // nobody heard what it read
+		}
+		s := span{from: e.Due, to: e.T}
+		if e.Status == 0 {
+			s.to = math.MaxInt64
+		}
+		spans, ops = append(spans, s), append(ops, e)
+	}
+	j.ordered("linear", "register", register, ops, spans)
+}
+
+// ordered judges by a rule that operations, each in its span, have an order that a
+// model explains. One with no answer may take effect at any later moment, or never:
+// its span does not end.
+func (j *Judge) ordered(rule, subject string, model porcupine.Model, all []history.Event, spans []span) {
+	if len(all) == 0 {
 		return
 	}
 	clients := map[string]int{}
 	var ops []porcupine.Operation
-	for _, e := range j.list.ops {
+	for i, e := range all {
 		if _, ok := clients[e.Relay]; !ok {
 			clients[e.Relay] = len(clients)
 		}
-		if e.Status == 0 && e.Text == "read" {
-			continue // nobody heard what it read
-		}
-		end := e.T
-		client := clients[e.Relay]
-		if e.Status == 0 { // it may take effect at any later moment, or never
-			end, client = math.MaxInt64, len(clients)+len(ops)+1000
+		op := porcupine.Operation{ClientId: clients[e.Relay], Input: e, Call: spans[i].from, Return: spans[i].to}
+		if op.Return == math.MaxInt64 {
+			op.ClientId = len(all) + i // whoever asked for it goes on to the next
 		}
-		ops = append(ops, porcupine.Operation{ClientId: client, Input: e, Call: e.Due, Output: nil, Return: end})
+		ops = append(ops, op)
 	}
-	switch porcupine.CheckOperationsTimeout(register, ops, linearMost) {
+	switch porcupine.CheckOperationsTimeout(model, ops, linearMost) {
 	case porcupine.Ok:
-		j.v.Judged["linear"] += len(ops)
+		j.v.Judged[rule] += len(ops)
 	case porcupine.Unknown:
 		j.v.Excused["operations whose order was not found in time"] += len(ops)
 	case porcupine.Illegal:
-		j.judged("linear")
-		first, last := j.list.ops[0], j.list.ops[len(j.list.ops)-1]
-		j.broken("linear", "register", "", fmt.Sprintf("no order of %d writes and reads explains what they were answered", len(ops)), first, last)
+		j.judged(rule)
+		j.broken(rule, subject, "", fmt.Sprintf("no order of %d operations explains what they were answered", len(ops)), all[0], all[len(all)-1])
 	}
 }
