Show the term of each duty that a warden holds

The issue names holder, term, time since the last hand-over and refused tokens as metrics; the term was missing. duty_term has it, beside duty_token.

--- a/internal/duty/figures.go
+++ b/internal/duty/figures.go
@@ -12,6 +12,7 @@
 type Figures struct {
 	reg     *prometheus.Registry
 	held    *prometheus.GaugeVec
+	term    *prometheus.GaugeVec
 	grants  *prometheus.CounterVec
 	refuses *prometheus.CounterVec
 	since   *prometheus.GaugeVec
@@ -21,10 +22,11 @@
 func NewFigures() *Figures {
 	f := &Figures{reg: prometheus.NewRegistry(),
 		held:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "duty_token", Help: "Token of each duty that this warden holds."}, []string{"duty"}),
+		term:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "duty_term", Help: "Term of each duty that this warden holds: grants of it so far."}, []string{"duty"}),
 		grants:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "duty_grants_total", Help: "Duties granted to this warden."}, []string{"duty"}),
 		refuses: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "duty_refused_total", Help: "Effects refused for an older token."}, []string{"duty"}),
 		since:   prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "duty_since_seconds", Help: "When this warden last took or left a duty, in Unix time."}, []string{"duty"})}
-	f.reg.MustRegister(f.held, f.grants, f.refuses, f.since)
+	f.reg.MustRegister(f.held, f.term, f.grants, f.refuses, f.since)
 	return f
 }
 
@@ -39,12 +41,14 @@
 
 func (f *Figures) granted(g *Grant) {
 	f.held.WithLabelValues(g.Duty).Set(float64(g.Token))
+	f.term.WithLabelValues(g.Duty).Set(float64(g.Term))
 	f.grants.WithLabelValues(g.Duty).Inc()
 	f.since.WithLabelValues(g.Duty).Set(float64(time.Now().Unix()))
 }
 
 func (f *Figures) gone(g *Grant) {
 	f.held.DeleteLabelValues(g.Duty)
+	f.term.DeleteLabelValues(g.Duty)
 	f.since.WithLabelValues(g.Duty).Set(float64(time.Now().Unix()))
 }
 
