End a call before the first deadline of its messages: the rest of it was lost

The call went on after the time of its first message was up, since launch waited for the latest of them, and told the endpoint so. What is answered then delivers nothing, and the other messages never got an end. Ruled out by the same logs: notices not taken (none), connections reset (none), answers cut short (each was whole). Lines at fault: cutAt, which knew no call, and launch's max(limit, s.at-now).

Now no attempt of a call outlives the first deadline in it. The policy numbers its calls and the relay puts just those messages into one request: it merged calls of one step, so that a call's end was not what the policy had said.

Tests: TestCallEndsInTime (200 seeds, in the module) and TestBatchEndsTogether (real sockets, the late answer forced); both were seen to fail without the mend.

--- a/decide/api.go
+++ b/decide/api.go
@@ -255,7 +255,7 @@
 
 // Kinds of action, each with the fields of Action that it uses.
 const (
-	ActSend    ActionKind = iota // Message, Endpoint, At (the moment it times out)
+	ActSend    ActionKind = iota // Message, Endpoint, At (the moment it times out), Call (sends with the same go out as one)
 	ActRefuse                    // Message, After (advice to the client)
 	ActFail                      // Message
 	ActCancel                    // Message, Attempt
@@ -277,6 +277,7 @@
 	Attempt  int
 	Message  uint32
 	Endpoint Endpoint
+	Call     uint32
 	At       Time
 	After    Time
 	Token    uint64
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -982,7 +982,7 @@
 		p.end(d.pick)
 		return
 	}
-	c := &call{ep: ep, sent: p.now}
+	c := &call{ep: ep, sent: p.now, last: math.MaxInt64}
 	for _, m := range slices.Clone(d.queue) {
 		if c.left >= d.kind.Batch {
 			break
@@ -994,6 +994,10 @@
 	if c.left == 0 {
 		return
 	}
+	p.lastCall++
+	for _, m := range c.msgs {
+		p.act(Action{Kind: ActSend, Message: m.id, Endpoint: ep.id, Call: p.lastCall, At: p.cutAt(m, c)})
+	}
 	p.spend(ep)
 	if p.set.Cancels {
 		p.review(c)
@@ -1012,7 +1016,7 @@
 	return p.silent < silentMany || (m.class.Repeat == Unsafe) == (other.class.Repeat == Unsafe)
 }
 
-// send is the one place that sends.
+// send puts a message into a call: nothing else does.
 func (p *Policy) send(m *message, c *call) {
 	if !p.maySend(m, c.ep) {
 		return
@@ -1023,17 +1027,18 @@
 	m.tries++
 	c.left++
 	c.msgs = append(c.msgs, m)
-	p.act(Action{Kind: ActSend, Message: m.id, Endpoint: c.ep.id, At: p.cutAt(m, c.ep)})
+	c.last = min(c.last, m.deadline-2*p.margin())
 }
 
-// cutAt is when an attempt times out.
-func (p *Policy) cutAt(m *message, ep *endpoint) Time {
-	last := m.deadline - 2*p.margin()
+// cutAt is when an attempt times out. The messages of a call share one fate: what answers it once the time of
+// one of them is up tells nothing of the others.
+func (p *Policy) cutAt(m *message, c *call) Time {
+	last := c.last
 	if m.class.Repeat == Unsafe {
 		return last // it cannot be tried again
 	}
 	span := float64(m.class.Aim)
-	if l := &ep.lane.lat; l.n > 0 {
+	if l := &c.ep.lane.lat; l.n > 0 {
 		span = max(4*l.mean+4*l.dev, span)
 	}
 	return min(last, p.now+Time(span))
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"os"
 	"strings"
 	"testing"
@@ -457,6 +458,38 @@
 	}
 }
 
+// TestCallEndsInTime: the messages of a call share one fate, so that none of them is waited for beyond the time
+// of another, whichever leads the call.
+func TestCallEndsInTime(t *testing.T) {
+	s := one()
+	s.Kinds[0].Batch = 3
+	unsafe := s.Classes[0]
+	unsafe.Repeat = Unsafe
+	s.Classes = append(s.Classes, unsafe)
+	for seed := range 200 {
+		rng := rand.New(rand.NewPCG(uint64(seed), 1))
+		r := newRig(t, s, ready(1, 1000))
+		var events []Event
+		first := Time(math.MaxInt64)
+		for range 3 {
+			e := r.message(rng.IntN(2), 0)
+			e.Left = second + Time(rng.Int64N(20*second))
+			first = min(first, r.now+e.Left)
+			events = append(events, e)
+		}
+		r.step(events...)
+		if len(r.sends) != 3 || r.p.calls != 1 {
+			t.Fatalf("seed %d: %d sends in %d calls, want 3 in 1", seed, len(r.sends), r.p.calls)
+		}
+		for _, a := range r.sends {
+			if a.Call != r.sends[0].Call || a.At >= first || a.At <= r.now {
+				t.Errorf("seed %d: message %d of call %d is waited for until %d, the first deadline of call %d is at %d",
+					seed, a.Message, a.Call, a.At, r.sends[0].Call, first)
+			}
+		}
+	}
+}
+
 // TestWorthOrder: what loses most by waiting goes first; what is over its tenant's share goes last.
 func TestWorthOrder(t *testing.T) {
 	s := one()
--- a/decide/state.go
+++ b/decide/state.go
@@ -10,28 +10,29 @@
 
 // Policy decides for one relay.
 type Policy struct {
-	set     Settings
-	rng     *rand.Rand
-	now     Time
-	out     []Action
-	dests   []*dest // by number
-	eps     map[Endpoint]*endpoint
-	msgs    map[uint32]*message
-	live    []*message // not yet ended
-	lines   map[uint64]*line
-	later   agenda[func()] // what is put off
-	touched []*dest        // to be looked at in this turn
-	ready   []*dest        // wait for nothing but a slot
-	tenants []bucket
-	calls   int
-	aloft   int // messages not ended with an attempt out
-	armed   Time
-	asked   Time
-	tight   []float64 // share of calls that found no connection, by kind of destination
-	lat     latency   // of all answers
-	silent  float64   // share of calls that ended with no answer
-	pressed Time      // since when messages wait and every slot is taken; 0 for not
-	drained Time      // since when the operators have it emptied; 0 for not
+	set      Settings
+	rng      *rand.Rand
+	now      Time
+	out      []Action
+	dests    []*dest // by number
+	eps      map[Endpoint]*endpoint
+	msgs     map[uint32]*message
+	live     []*message // not yet ended
+	lines    map[uint64]*line
+	later    agenda[func()] // what is put off
+	touched  []*dest        // to be looked at in this turn
+	ready    []*dest        // wait for nothing but a slot
+	tenants  []bucket
+	calls    int
+	lastCall uint32
+	aloft    int // messages not ended with an attempt out
+	armed    Time
+	asked    Time
+	tight    []float64 // share of calls that found no connection, by kind of destination
+	lat      latency   // of all answers
+	silent   float64   // share of calls that ended with no answer
+	pressed  Time      // since when messages wait and every slot is taken; 0 for not
+	drained  Time      // since when the operators have it emptied; 0 for not
 }
 
 // dest is a destination: a queue, and a lane for each thing that limits it.
@@ -120,6 +121,7 @@
 type call struct {
 	ep    *endpoint
 	sent  Time
+	last  Time // before the time of the first of its messages is up
 	left  int
 	noted bool
 	msgs  []*message
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -55,6 +55,7 @@
 // the clients of all its messages have heard that these are taken on.
 type batch struct {
 	ep    *endpoint
+	num   uint32 // of the call, as the policy has it
 	sends []send
 	bytes int // that its body takes up at most
 }
@@ -910,8 +911,9 @@
 	r.in.Put(happening{unsent: u})
 }
 
-// gather puts a send with those that the same step makes to the same endpoint,
-// as many as one call there may carry.
+// gather puts a send with those that the policy makes in the same call, as many
+// as a call there may carry. Two calls of one step stay two: each has an end of
+// its own, and the messages of one must not wait for those of the other.
 func (r *Relay) gather(m *message, a *decide.Action) {
 	ep := r.byNum[a.Endpoint]
 	if ep == nil {
@@ -920,13 +922,13 @@
 	}
 	size := framed(m.rec)
 	for _, b := range r.batches {
-		if b.ep == ep && len(b.sends) < ep.batch && b.bytes+size <= bodyMost {
+		if b.ep == ep && b.num == a.Call && len(b.sends) < ep.batch && b.bytes+size <= bodyMost {
 			b.sends, b.bytes = append(b.sends, send{m, a.At}), b.bytes+size
 			m.pending = b
 			return
 		}
 	}
-	b := &batch{ep: ep, sends: []send{{m, a.At}}, bytes: size}
+	b := &batch{ep: ep, num: a.Call, sends: []send{{m, a.At}}, bytes: size}
 	m.pending = b
 	r.batches = append(r.batches, b)
 }
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -89,6 +90,51 @@
 	}
 }
 
+// Guards a batch whose endpoint hangs: the call ends for all its messages when
+// the time of the first is up, and the endpoint was told so. What it answers once
+// that one has ended is an answer to nobody: the rest still get their ends.
+func TestBatchEndsTogether(t *testing.T) {
+	first := make(chan struct{})
+	disc := discoverytest.New(t)
+	ep := newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 {
+			<-first
+			return
+		}
+		for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if _, over := disc.Notice("short"); over {
+				return
+			}
+		}
+	})
+	disc.Set(func(d *discoverytest.Server) { d.List.Members = append(d.List.Members, ep.member("s-1", 7)) })
+	env := testConfig(t, disc, 3)
+	editConfig(t, env, `"kind_batch":[1]`, `"kind_batch":[5]`)
+	startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	if s := cl.put("m0", fields("once", 20000, 7), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	waitFor(t, "the first call", func() bool { return ep.count("m0") == 1 })
+	for id, ms := range map[string]int{"short": 1500, "long": 20000} {
+		if s := cl.put(id, fields("once", ms, 7), nil); s != "+OK" {
+			t.Fatal(s)
+		}
+	}
+	close(first)
+	for _, id := range []string{"short", "long"} {
+		waitFor(t, "the end of "+id, func() bool { n, ok := disc.Notice(id); return ok && n.Outcome == discovery.GivenUp })
+	}
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	if len(ep.calls) != 2 {
+		t.Fatalf("%d calls, want short and long in one", len(ep.calls))
+	}
+	if ms, err := strconv.Atoi(ep.calls[1].timeout); err != nil || ms >= 1500 {
+		t.Errorf("the endpoint was told to be waited for %s ms, short has 1500", ep.calls[1].timeout)
+	}
+}
+
 // Guards SIGHUP: it is no end, and list and notices come from and go to the
 // address that the file then names. A file that cannot be used changes nothing.
 func TestReconfigured(t *testing.T) {
