End clients' connections by a shutdown and a read-out, and the process after them

The renewed test lets bytes come in the very moment in which a relay shuts or closes a connection. And loop ended the process with nothing held and no call out, over connections with a request half read or a -BUSY not written yet (its count of connections was heeded in an upgrade alone).

Now part ends the write side, reads out with a bound (400 ms, 1 MiB, nothing where the descriptor is needed) and closes; the reader has been told to end before, so that nothing read then is taken on. One accepted while closing has 400 ms for its first request, as those just opened have. The process waits for its clients' connections, within the 3.3 s that it had.

Tests, each seen to fail without the mend by "connection reset by peer": TestAnswerOutlivesClose, TestRequestCrossesClose, TestMadeRoomWithoutReset (bytes forced in between by a connection of the test's own) and TestHalfReadAtTermination (a relay in its own process).

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -23,15 +23,14 @@
 // The reader is our own since it must bound sizes before memory is spent.
 
 const (
-	bodyMost   = 64 << 10
-	argMost    = 4 << 10 // any argument but the body
-	argsMost   = 16
-	skipMost   = 1 << 20 // a body this long is still read past, so that the connection can go on
-	lineMost   = 32
-	writeWait  = 2 * time.Second
-	wholeWait  = 2500 * time.Millisecond // for a whole command: such peers are owed a close within 3 s
-	lingerWait = 200 * time.Millisecond
-	lateWait   = 400 * time.Millisecond // clients themselves wait no longer for an answer
+	bodyMost  = 64 << 10
+	argMost   = 4 << 10 // any argument but the body
+	argsMost  = 16
+	skipMost  = 1 << 20 // a body this long is still read past, so that the connection can go on
+	lineMost  = 32
+	writeWait = 2 * time.Second
+	wholeWait = 2500 * time.Millisecond // for a whole command: such peers are owed a close within 3 s
+	lateWait  = 400 * time.Millisecond  // clients themselves wait no longer for an answer
 )
 
 // errTooLong is a command that was read past: the connection is still in step.
@@ -241,13 +240,21 @@
 	by   time.Time // for its next proper command; zero where it may take its time
 	idle time.Time
 	left bool // released: it ends with the answer to what had begun by then
+	over bool // nothing more that comes on it is taken on
 }
 
 // release ends the wait for a next request. A connection is closed only so:
 // where a request's first byte has been read by then, it is answered first.
 func (cc *clientConn) release() {
 	cc.left = true
-	cc.SetReadDeadline(time.Unix(1, 0))
+	cc.readUntil(time.Unix(1, 0))
+}
+
+// readUntil bounds the reader's waits, unless it has been told to end.
+func (cc *clientConn) readUntil(t time.Time) {
+	if !cc.over {
+		cc.SetReadDeadline(t)
+	}
 }
 
 func newClients(cfg *Config, log *slog.Logger, put func(*request), said func(*request, bool)) *clients {
@@ -331,8 +338,11 @@
 // welcome begins to talk on a new connection.
 func (c *clients) welcome(conn net.Conn) {
 	cc := &clientConn{Conn: conn, idle: time.Now(), by: time.Now().Add(c.patience)}
-	cc.SetReadDeadline(cc.by)
 	c.mu.Lock()
+	if c.closing { // as for those that were just opened when the closing began
+		cc.left, cc.by = true, time.Now().Add(lateWait)
+	}
+	cc.readUntil(cc.by)
 	if len(c.conns) >= c.most {
 		c.evict()
 	}
@@ -342,13 +352,37 @@
 	go func() {
 		defer c.wg.Done()
 		c.talk(cc)
+		c.part(cc)
+		cc.Close()
 		c.mu.Lock()
 		delete(c.conns, cc)
 		c.mu.Unlock()
-		cc.Close()
 	}()
 }
 
+// part ends a connection so that the peer gets all that was written to it: a
+// close over bytes that were not read resets the connection, and an answer that
+// is still under way may go with it. So the peer hears of the end first. What it
+// sends until it has is read and dropped, for as long as a client would wait for
+// an answer and up to the length of one command. One that had to make room for
+// another holds its descriptor no longer than that takes.
+func (c *clients) part(cc *clientConn) {
+	t, ok := cc.Conn.(interface{ CloseWrite() error })
+	if !ok || t.CloseWrite() != nil {
+		return
+	}
+	c.mu.Lock()
+	counted := c.conns[cc]
+	if counted {
+		cc.SetReadDeadline(time.Now().Add(lateWait))
+	}
+	c.mu.Unlock()
+	if counted {
+		io.CopyN(io.Discard, cc, skipMost)
+	}
+	discard(cc.Conn)
+}
+
 // evict closes the connection that has been idle for longest, to make room for
 // a new one: clients open another when they need it. The caller holds mu.
 func (c *clients) evict() {
@@ -377,7 +411,7 @@
 			cc.release()
 		default: // just opened: its first request is under way
 			cc.left = true
-			cc.SetReadDeadline(time.Now().Add(lateWait))
+			cc.readUntil(time.Now().Add(lateWait))
 		}
 	}
 }
@@ -423,26 +457,43 @@
 	if !cc.by.IsZero() && cc.by.Before(by) {
 		by = cc.by
 	}
-	cc.SetReadDeadline(by)
+	cc.readUntil(by)
 }
 
 // unread reports whether something has come that was not read: the end of a
 // wait and the first byte of a request may fall together.
 func unread(conn net.Conn) bool {
+	var b [1]byte
+	return recvNow(conn, b[:], syscall.MSG_PEEK) > 0
+}
+
+// discard drops what has come and was not read, with no wait for more.
+func discard(conn net.Conn) {
+	b := make([]byte, argMost)
+	for n := 0; n < skipMost; {
+		got := recvNow(conn, b, 0)
+		if got <= 0 {
+			return
+		}
+		n += got
+	}
+}
+
+// recvNow receives into b without waiting; it returns 0 or less where there is
+// nothing.
+func recvNow(conn net.Conn, b []byte, flags int) (n int) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
-	n := 0
 	raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, _ = syscall.Recvfrom(int(fd), b, flags|syscall.MSG_DONTWAIT)
 	})
-	return n > 0
+	return n
 }
 
 // hear gives a connection whose wait is over a little time, so that what has
@@ -454,14 +505,14 @@
 	if !cc.by.IsZero() {
 		cc.by = late
 	}
-	cc.SetReadDeadline(late)
+	cc.readUntil(late)
 }
 
 // read marks a command read to its end, sound or not.
 func (c *clients) read(cc *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cc.SetReadDeadline(cc.by)
+	cc.readUntil(cc.by)
 }
 
 // proper marks a connection that has carried a proper command. One that hands
@@ -476,7 +527,7 @@
 		cc.by = time.Now().Add(c.patience)
 	}
 	if cc.busy == 1 && !c.closing { // else the next command is under way, under its own limit
-		cc.SetReadDeadline(cc.by)
+		cc.readUntil(cc.by)
 	}
 }
 
@@ -501,7 +552,15 @@
 func (c *clients) talk(cc *clientConn) {
 	commands := make(chan command)
 	quit := make(chan struct{})
-	defer close(quit)
+	defer func() { // what the reader has or gets from here on is taken on no more
+		close(quit)
+		c.mu.Lock()
+		cc.over = true
+		cc.SetReadDeadline(time.Unix(1, 0))
+		c.mu.Unlock()
+		for range commands {
+		}
+	}()
 	go func() {
 		defer close(commands)
 		in := bufio.NewReader(cc)
@@ -534,7 +593,6 @@
 			cmd := *more
 			if cmd.err != nil && cmd.err != errTooLong {
 				c.write(cc, fault(cmd.err))
-				linger(cc)
 				return
 			}
 			ok := false
@@ -600,13 +658,3 @@
 	_, err := io.WriteString(cc, s)
 	return err == nil
 }
-
-// linger lets an error reach a client that is still sending: closing at once
-// would reset the connection and take the error with it.
-func linger(cc *clientConn) {
-	if t, ok := cc.Conn.(*net.TCPConn); ok {
-		t.CloseWrite()
-	}
-	cc.SetReadDeadline(time.Now().Add(lingerWait))
-	io.CopyN(io.Discard, cc, skipMost)
-}
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -296,3 +298,109 @@
 		cfg.parsePut(args, time.Now())
 	})
 }
+
+// crossing is a server's side of a connection on which bytes come in the very
+// moment in which it is shut or closed.
+type crossing struct {
+	*net.TCPConn
+	cross func() // sends them, and returns once they are there
+}
+
+func (c *crossing) CloseWrite() error {
+	c.cross()
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *crossing) Close() error {
+	c.cross()
+	return c.TCPConn.Close()
+}
+
+// serveCrossing talks on one connection whose client sends text just as the
+// relay lets go of it.
+func serveCrossing(t *testing.T, put func(*request), text string) (*clients, *testClient) {
+	t.Helper()
+	c := newClients(testSet(t), quietLog(), put, func(*request, bool) {})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	cl := dialClient(t, ln.Addr().String())
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &crossing{TCPConn: conn.(*net.TCPConn)}
+	x.cross = sync.OnceFunc(func() {
+		io.WriteString(cl, text)
+		waitFor(t, "the crossing bytes", func() bool { return unread(x.TCPConn) })
+	})
+	c.welcome(x)
+	return c, cl
+}
+
+// Guards the answer of a request against the close of its connection: what its
+// client sends as the relay closes is dropped, and resets nothing.
+func TestAnswerOutlivesClose(t *testing.T) {
+	var taken atomic.Int32
+	got := make(chan *request, 2)
+	c, cl := serveCrossing(t, func(q *request) { taken.Add(1); got <- q },
+		putText("b", fields("plain", 8000, 1), nil)+putText("c", fields("plain", 8000, 1), make([]byte, bodyMost)))
+	io.WriteString(cl, putText("a", fields("plain", 8000, 1), nil))
+	q := <-got
+	c.closeIdle()
+	q.answer(replyOK)
+	if s := cl.line(); s != "+OK" {
+		t.Errorf("answer %q", s)
+	}
+	if _, err := cl.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after the answer: %v, want an end and no reset", err)
+	}
+	cl.Close()
+	waitFor(t, "the end of the connection", func() bool { return c.count() == 0 })
+	if n := taken.Load(); n != 1 {
+		t.Errorf("%d requests taken, want the first alone", n)
+	}
+}
+
+// The same for a resting connection that is let go: the request that crosses
+// the close is dropped whole, and its client hears of the end, not of a reset.
+func TestRequestCrossesClose(t *testing.T) {
+	var taken atomic.Int32
+	c, cl := serveCrossing(t, func(q *request) { taken.Add(1); accept(q) }, putText("b", fields("plain", 8000, 1), nil))
+	if s := cl.put("a", fields("plain", 8000, 1), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	c.closeIdle()
+	if _, err := cl.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("%v, want an end and no reset", err)
+	}
+	cl.Close()
+	waitFor(t, "the end of the connection", func() bool { return c.count() == 0 })
+	if n := taken.Load(); n != 1 {
+		t.Errorf("%d requests taken, want the first alone", n)
+	}
+}
+
+// The same for one that has to make room for another, with no time to wait.
+func TestMadeRoomWithoutReset(t *testing.T) {
+	c, cl := serveCrossing(t, accept, putText("b", fields("plain", 8000, 1), nil))
+	if s := cl.put("a", fields("plain", 8000, 1), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	waitFor(t, "rest", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for cc := range c.conns {
+			return cc.busy == 0
+		}
+		return false
+	})
+	c.mu.Lock()
+	c.evict()
+	c.mu.Unlock()
+	if _, err := cl.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("%v, want an end and no reset", err)
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -461,10 +461,8 @@
 			listening = false
 			r.cl.stopListening(ln)
 		}
-		idle := len(r.waiting) == 0 && r.calls == 0 && (r.held == 0 || gone >= stopSends)
-		if r.owner.passed && gone < stopSends { // its clients go to the next process, each heard
-			idle = idle && r.cl.count() == 0
-		}
+		// An end with a connection open would reset it, with the answer on it.
+		idle := len(r.waiting) == 0 && r.calls == 0 && (r.held == 0 || gone >= stopSends) && r.cl.count() == 0
 		if !listening && idle || gone >= stopCalls {
 			r.log.Info("stopped", "held", r.held, "calls", r.calls)
 			return r.failed
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -296,6 +299,44 @@
 	}
 }
 
+// Guards a planned end: a request of which a part has come at SIGTERM gets its
+// answer, though nothing else keeps the process, and its connection is not reset.
+func TestHalfReadAtTermination(t *testing.T) {
+	env := testConfig(t, discoverytest.New(t), 3)
+	c := startChild(t, env)
+	half, rest := dialClient(t, env["ROUTER_LISTEN"]), dialClient(t, env["ROUTER_LISTEN"])
+	for _, cl := range []*testClient{half, rest} {
+		io.WriteString(cl, "*1\r\n$4\r\nPING\r\n")
+		if s := cl.line(); s != "+PONG" {
+			t.Fatal(s)
+		}
+	}
+	text := putText("m", fields("plain", 8000, 7), []byte("body"))
+	io.WriteString(half, text[:len(text)/2])
+	c.cmd.Process.Signal(syscall.SIGTERM)
+	if _, err := rest.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("a resting connection: %v", err)
+	}
+	waitFor(t, "the end of the listening", func() bool {
+		conn, err := net.Dial("tcp", env["ROUTER_LISTEN"])
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+	io.WriteString(half, text[len(text)/2:])
+	if s := half.line(); s != "-BUSY 400" {
+		t.Errorf("answer %q", s)
+	}
+	if _, err := half.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after the answer: %v", err)
+	}
+	half.Close()
+	if err := c.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
 // Guards the disk: full holdings of long bodies may not fit into it, and what
 // does not fit is refused before the folder is over its limit.
 func TestDiskBound(t *testing.T) {
