Let a message share a call only where that cuts nobody short

Since a call ends before the first deadline in it, one whose time is nearly up cut the others short.

Line at fault: mayShare, which knew nothing of time. Now a message joins a call only if its end still leaves each by when an answer has nearly always come (half the patience, or the end of its own time).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -846,7 +846,7 @@
 
 // maySend: every guard on a message and an endpoint together.
 func (p *Policy) maySend(m *message, ep *endpoint) bool {
-	if m.over || m.call != nil || p.spent(m) || p.now >= m.deadline-2*p.margin() || !p.mayCall(ep) {
+	if m.over || m.call != nil || p.spent(m) || p.now >= p.last(m) || !p.mayCall(ep) {
 		return false
 	}
 	l := p.lines[m.key]
@@ -987,7 +987,7 @@
 		if c.left >= d.kind.Batch {
 			break
 		}
-		if m == d.pick || c.left > 0 && !trial && p.mayShare(m, d.pick) {
+		if m == d.pick || c.left > 0 && !trial && p.mayShare(m, c) {
 			p.send(m, c)
 		}
 	}
@@ -1010,10 +1010,15 @@
 	ep.conns = max(ep.conns, (ep.flying+p.set.Streams-1)/p.set.Streams)
 }
 
-// mayShare: where many calls end in silence, an unsafe message shares none with others, as it has the call
-// waited for far longer. Harm: more calls for as many messages.
-func (p *Policy) mayShare(m, other *message) bool {
-	return p.silent < silentMany || (m.class.Repeat == Unsafe) == (other.class.Repeat == Unsafe)
+// mayShare: a call ends with the time of the first of its messages, so that those share one which then still
+// leaves each the time that it would wait for an answer of its own. Where many calls end in silence, an
+// unsafe message shares none with others, as it has the call waited for far longer. Harm: more calls for as
+// many messages.
+func (p *Policy) mayShare(m *message, c *call) bool {
+	if min(c.last, p.last(m)) < max(c.enough, p.enough(m, c.ep)) {
+		return false
+	}
+	return p.silent < silentMany || (m.class.Repeat == Unsafe) == (c.msgs[0].class.Repeat == Unsafe)
 }
 
 // send puts a message into a call: nothing else does.
@@ -1027,21 +1032,27 @@
 	m.tries++
 	c.left++
 	c.msgs = append(c.msgs, m)
-	c.last = min(c.last, m.deadline-2*p.margin())
+	c.last, c.enough = min(c.last, p.last(m)), max(c.enough, p.enough(m, c.ep))
 }
 
+// last is the latest moment at which an attempt of a message may time out.
+func (p *Policy) last(m *message) Time { return m.deadline - 2*p.margin() }
+
+// enough is the moment by which an answer to a call made now has nearly always come. With the whole patience
+// for each, what waits near its deadline would go alone and use up a limit on calls.
+func (p *Policy) enough(m *message, ep *endpoint) Time { return min(p.last(m), p.now+p.patience(ep)/2) }
+
 // cutAt is when an attempt times out. The messages of a call share one fate: what answers it once the time of
 // one of them is up tells nothing of the others.
 func (p *Policy) cutAt(m *message, c *call) Time {
-	last := c.last
 	if m.class.Repeat == Unsafe {
-		return last // it cannot be tried again
+		return c.last // it cannot be tried again
 	}
 	span := float64(m.class.Aim)
 	if l := &c.ep.lane.lat; l.n > 0 {
 		span = max(4*l.mean+4*l.dev, span)
 	}
-	return min(last, p.now+Time(span))
+	return min(c.last, p.now+Time(span))
 }
 
 // ---- drain
--- a/decide/state.go
+++ b/decide/state.go
@@ -119,12 +119,13 @@
 
 // call is one call out, with the messages that share it.
 type call struct {
-	ep    *endpoint
-	sent  Time
-	last  Time // before the time of the first of its messages is up
-	left  int
-	noted bool
-	msgs  []*message
+	ep     *endpoint
+	sent   Time
+	last   Time // before the time of the first of its messages is up
+	enough Time // until which the one that takes longest is waited for
+	left   int
+	noted  bool
+	msgs   []*message
 }
 
 // line is the turn of one key in the classes that keep order.
