Let no repeat go out after its window, however late its connection comes up

The policy looks at the window when it decides (spent), and the call may then wait up to 1.5 s for its connection: the first byte went out after the window. Nothing looked again (GotConn looked for drains and told waits alone).

A send now carries the last moment for its first byte (By); launch and, when the connection is there, GotConn hold it back after that, and it counts as never sent.

--- a/decide/api.go
+++ b/decide/api.go
@@ -255,7 +255,7 @@
 
 // Kinds of action, each with the fields of Action that it uses.
 const (
-	ActSend    ActionKind = iota // Message, Endpoint, At (the moment it times out), Call (sends with the same go out as one)
+	ActSend    ActionKind = iota // Message, Endpoint, At (the moment it times out), By (no byte may go out later; 0 for any time), Call (sends with the same go out as one)
 	ActRefuse                    // Message, After (advice to the client)
 	ActFail                      // Message
 	ActCancel                    // Message, Attempt
@@ -279,6 +279,7 @@
 	Endpoint Endpoint
 	Call     uint32
 	At       Time
+	By       Time
 	After    Time
 	Token    uint64
 	Text     string
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -374,7 +374,16 @@
 	if m.doubtAt == 0 || m.class.Repeat == Safe {
 		return false
 	}
-	return m.class.Repeat == Unsafe || p.now-m.doubtAt > m.class.DedupWindow-2*p.set.Tick
+	return m.class.Repeat == Unsafe || p.now > p.repeatBy(m)
+}
+
+// repeatBy is the last moment at which a message that may have run can be sent again and still be known as
+// the same; 0 where there is none. Waiting for a connection may take a call beyond it.
+func (p *Policy) repeatBy(m *message) Time {
+	if m.doubtAt == 0 || m.class.Repeat != Keyed {
+		return 0
+	}
+	return m.doubtAt + m.class.DedupWindow - 2*p.set.Tick
 }
 
 // outcome books the end of an attempt, for the message, its call, its endpoint and its lane.
@@ -996,7 +1005,8 @@
 	}
 	p.lastCall++
 	for _, m := range c.msgs {
-		p.act(Action{Kind: ActSend, Message: m.id, Endpoint: ep.id, Call: p.lastCall, At: p.cutAt(m, c)})
+		p.act(Action{Kind: ActSend, Message: m.id, Endpoint: ep.id, Call: p.lastCall, At: p.cutAt(m, c),
+			By: p.repeatBy(m)})
 	}
 	p.spend(ep)
 	if p.set.Cancels {
--- a/decide/guards_test.go
+++ b/decide/guards_test.go
@@ -23,7 +23,7 @@
 		{"drain", "ep.state != Ready || ep.lane", "ep.lane", "TestRules"},
 		{"wait", " || ep.lane.waitUntil > p.now || ", " || ", "TestRules"},
 		{"unsafe", "if m.doubtAt == 0 || m.class.Repeat == Safe {", "if m.doubtAt == 0 || m.class.Repeat != Keyed {", "TestRules"},
-		{"dedup window", " || p.now-m.doubtAt > m.class.DedupWindow-2*p.set.Tick", "", "TestRules"},
+		{"dedup window", " || p.now > p.repeatBy(m)", "", "TestRules"},
 		{"dedup zone", "m.class.ZoneOnly && ep.zone != m.doubtIn", "false", "TestRules"},
 		{"order", "l.turns[0] != m || ", "", "TestRules"},
 		{"rest of a key", "m.tries == 0 && l.rest > p.now", "false", "TestRules"},
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -171,6 +171,7 @@
 	errCancelled = errors.New("cancelled")
 	errDrained   = errors.New("endpoint drained")
 	errToldWait  = errors.New("endpoint told to wait")
+	errTooLate   = errors.New("no connection before it could be sent no more")
 )
 
 // part is one message's share in a call.
@@ -186,6 +187,7 @@
 	parts  []part
 	ep     *endpoint
 	conns  *http.Transport // of the endpoint, as they were when it began
+	by     time.Time       // its first byte may not go out later; zero for any time
 	stage  atomic.Int32
 	broken atomic.Bool // the connection broke before the last byte was written
 	ctx    context.Context
@@ -314,8 +316,11 @@
 			if conn, ok := info.Conn.(*lineConn); ok {
 				line.Store(conn)
 			}
+			if !c.by.IsZero() && !time.Now().Before(c.by) {
+				c.holdBack(errTooLate)
+			}
 			if !c.stage.CompareAndSwap(callWaiting, callSending) && c.stage.Load() == callStopped {
-				cancel() // a drain or a wait came first
+				cancel() // a drain, a wait or the end of its time came first
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -222,6 +222,28 @@
 	<-gone
 }
 
+// Guards the window for repeats: a connection that comes up once it is over
+// carries nothing, and what was not sent has never run.
+func TestLateConnectionCarriesNoRepeat(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	conns := testConns(t, 2)
+	defer conns.CloseIdleConnections()
+	c := newTestCall()
+	c.by = time.Now().Add(50 * time.Millisecond)
+	conns.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := net.Dial(network, addr)
+		waitFor(t, "the end of the window", func() bool { return !time.Now().Before(c.by) })
+		return &lineConn{Conn: conn}, err
+	}
+	if o := runOne(c, conns, ep.addr(), &wal.Record{ID: "m"}, testLimit); o.what != decide.NotSent {
+		t.Errorf("got %+v", o)
+	}
+	conns.CloseIdleConnections()
+	if n := ep.count("m"); n != 0 {
+		t.Errorf("the call went out %d times", n)
+	}
+}
+
 // Guards against a client library that sends a call again by itself: an
 // idempotency key makes a POST replayable to net/http, which would repeat it
 // where a kept-alive connection breaks under it.
@@ -368,7 +390,7 @@
 	// A batch that the policy let go before the word, and whose client hears only now.
 	late := r.newMessage(&wal.Record{ID: "late", Class: "plain", Dest: 1})
 	late.heard = true
-	b := &batch{ep: twin, sends: []send{{late, r.now() + 900e6}}}
+	b := &batch{ep: twin, sends: []send{{m: late, at: r.now() + 900e6}}}
 	late.pending = b
 	if r.launch(b); late.call != nil || len(twin.calls) != 1 {
 		t.Error("a call begins under the wait")
--- a/internal/relay/idle_test.go
+++ b/internal/relay/idle_test.go
@@ -49,7 +49,7 @@
 		m := r.newMessage(&wal.Record{Kind: wal.Taken, ID: id, Dest: 7, Class: "plain"})
 		m.heard, m.logged, m.tries = true, true, 1
 		r.wal.Submit(m.rec, nil)
-		r.launch(&batch{ep: at, sends: []send{{m, r.now() + 20e6}}})
+		r.launch(&batch{ep: at, sends: []send{{m: m, at: r.now() + 20e6}}})
 	}
 	send1("a")
 	if got, want := at.conns.IdleConnTimeout, 9*time.Second; got != want {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -63,6 +63,7 @@
 type send struct {
 	m  *message
 	at decide.Time // the moment it times out
+	by decide.Time // no byte of it may go out later; 0 for any time
 }
 
 func (b *batch) remove(m *message) {
@@ -146,6 +147,11 @@
 
 func (r *Relay) now() decide.Time { return clockStart + time.Since(r.began).Microseconds() }
 
+// moment turns a moment of the policy's clock into one of the process's.
+func (r *Relay) moment(t decide.Time) time.Time {
+	return r.began.Add(time.Duration(t-clockStart) * time.Microsecond)
+}
+
 // wall turns a moment of the policy's clock into one of the log's.
 func (r *Relay) wall(t decide.Time) int64 {
 	return r.began.UnixMicro() + r.skew + t - clockStart
@@ -921,12 +927,12 @@
 	size := framed(m.rec)
 	for _, b := range r.batches {
 		if b.ep == ep && b.num == a.Call && len(b.sends) < ep.batch && b.bytes+size <= bodyMost {
-			b.sends, b.bytes = append(b.sends, send{m, a.At}), b.bytes+size
+			b.sends, b.bytes = append(b.sends, send{m, a.At, a.By}), b.bytes+size
 			m.pending = b
 			return
 		}
 	}
-	b := &batch{ep: ep, num: a.Call, sends: []send{{m, a.At}}, bytes: size}
+	b := &batch{ep: ep, num: a.Call, sends: []send{{m, a.At, a.By}}, bytes: size}
 	m.pending = b
 	r.batches = append(r.batches, b)
 }
@@ -952,11 +958,14 @@
 		}
 		m.pending = nil
 		b.remove(m)
-		if ep.gone || ep.cell != m.rec.Dest || ep.waitOver > now || s.at <= now || m.over {
+		if ep.gone || ep.cell != m.rec.Dest || ep.waitOver > now || s.at <= now || s.by != 0 && s.by <= now || m.over {
 			r.notSent(m, ep)
 			continue
 		}
 		c.parts = append(c.parts, part{m: m, attempt: m.tries - 1})
+		if by := r.moment(s.by); s.by != 0 && (c.by.IsZero() || by.Before(c.by)) {
+			c.by = by
+		}
 		limit = max(limit, s.at-now) // one connection: it stands until the last of them gives up
 		m.call = c
 	}
