Try what a restart finds taken on and untried: neither draw nor shortage ends it

A message of an earlier process that was never sent now loses its turn to a draw, and not its call, and is not shed; the drop is counted as before. New ones are turned away instead.

--- a/decide/api.go
+++ b/decide/api.go
@@ -148,7 +148,7 @@
 // Kinds of event, each with the fields of Event that it uses.
 const (
 	EvList     EventKind = iota // news of the list: List, Entries
-	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work, Tries, DoubtAt, DoubtIn
+	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work, Kept, Tries, DoubtAt, DoubtIn
 	EvBegun                     // an answer has begun to flow: Message, Attempt
 	EvOutcome                   // an attempt is over: Message, Attempt, Endpoint, Outcome, Wait, Slots, Took, Settled, Load
 	EvWithdraw                  // nobody wants the message any more: Message
@@ -238,8 +238,9 @@
 	Fresh    bool // EvOutcome: the connection was opened for this call
 	Entries  []Entry
 
-	// EvMessage, of a message that an earlier process took on: its attempts so
-	// far, the send of the first of them that may have run (0 for none) and its zone.
+	// EvMessage, of a message that an earlier process took on: that it is, its attempts
+	// so far, the send of the first of them that may have run (0 for none) and its zone.
+	Kept    bool
 	Tries   int
 	DoubtAt Time
 	DoubtIn int
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -179,7 +179,7 @@
 		return
 	}
 	c := &p.set.Classes[e.Class]
-	m := &message{id: e.Message, key: e.Key, class: c, dest: p.dest(e.Dest), worth: c.Worth}
+	m := &message{id: e.Message, key: e.Key, class: c, dest: p.dest(e.Dest), worth: c.Worth, kept: e.Kept}
 	m.deadline = p.now + max(e.Left, 0)
 	m.aimAt = m.deadline - c.Deadline + c.Aim
 	if p.set.WorthByWork && e.Work > 0 {
@@ -259,7 +259,7 @@
 			d.clearAt += p.drain(d)
 		}
 		for _, m := range p.live {
-			if p.refusable(m) {
+			if p.refusable(m) && !m.untried() {
 				if v := p.value(m, min(m.dest.clearAt, m.deadline)); v < low {
 					least, low = m, v
 				}
@@ -988,7 +988,9 @@
 	if trial {
 		l.hist.request(p.now) // recovery bounds trial calls harder than the formula would
 	} else if p.dropped(l) {
-		p.end(d.pick)
+		if !d.pick.untried() { // what an earlier process took on loses its turn, not its call
+			p.end(d.pick)
+		}
 		return
 	}
 	c := &call{ep: ep, sent: p.now, last: math.MaxInt64}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -306,7 +306,7 @@
 			continue
 		}
 		e := decide.Event{Kind: decide.EvMessage, Message: m.num, Class: class, Dest: rec.Dest, Tenant: -1,
-			Left: r.fromWall(rec.Deadline) - r.now(), Tries: rec.Tries, DoubtIn: rec.DoubtIn}
+			Left: r.fromWall(rec.Deadline) - r.now(), Kept: true, Tries: rec.Tries, DoubtIn: rec.DoubtIn}
 		if t, ok := r.cfg.tenants[rec.Tenant]; ok {
 			e.Tenant = t
 		}
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -223,6 +223,45 @@
 	}
 }
 
+// Guards what was taken on and never sent against a restart into bad times: each
+// message gets its call, though the destination fails at first, when the policy
+// would refuse most new ones without.
+func TestUntriedIsTriedAfterRestart(t *testing.T) {
+	ep := newFakeEndpoint(t, hang)
+	disc := discoverytest.New(t, ep.member("s-1", 7))
+	env := testConfig(t, disc, 3)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	var ids []string
+	for i := range 40 {
+		id := fmt.Sprintf("m%d", i)
+		if s := cl.put(id, fields("plain", 20000, 7), nil); s != "+OK" {
+			t.Fatal(s)
+		}
+		ids = append(ids, id)
+	}
+	waitFor(t, "a call", func() bool { return ep.count("m0") == 1 })
+	c.kill()
+	tried := map[string]bool{}
+	for _, id := range ids {
+		tried[id] = ep.count(id) > 0
+	}
+	ep.then(func(w http.ResponseWriter, _ *http.Request, n int) {
+		if n < 30 {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	startChild(t, env)
+	for _, id := range ids {
+		waitFor(t, "a call of "+id, func() bool {
+			if n, ended := disc.Notice(id); ended && !tried[id] && ep.count(id) == 0 {
+				t.Fatalf("%s, which was never sent, is %s with no call", id, n.Outcome)
+			}
+			return ep.count(id) > 0
+		})
+	}
+}
+
 // Guards the end of what ran out of time while no process ran: its notice
 // comes straight after the start. A notice that was not taken is sent again.
 func TestOverdueAfterRestart(t *testing.T) {
