Let go of a call whose answer has said 200 and does not go on

What follows the first line of 200 to one message means nothing: it now has 200 ms to follow, about what another connection costs, and then the connection is closed. Answers to several are waited for as before. Test: TestAnswerThatNeverEnds (head, body, no length), seen to hang without the mend.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -32,6 +32,9 @@
 	probeWait   = 2 * time.Second // a probe that takes longer has failed
 	idleMargin  = 10              // one part in so many of the keep-alive is left unused
 	longestWait = 10 * time.Minute
+	// What follows a first line with 200 means nothing. It comes with it, or is not worth the slot: to open
+	// another connection takes no longer.
+	restWait = 200 * time.Millisecond
 )
 
 // endpoint is one address of a destination, with its kept-alive connections.
@@ -118,6 +121,14 @@
 	mu    sync.Mutex
 	line  []byte // as far as it has come
 	ended bool   // nothing more can be read
+	is200 func() // called once a whole first line has come that says 200; may be nil
+}
+
+// watch has f called once the newest answer's first line says 200.
+func (c *lineConn) watch(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.is200 = f
 }
 
 func (c *lineConn) Write(b []byte) (int, error) {
@@ -138,6 +149,10 @@
 			part = part[:end+1]
 		}
 		c.line = append(c.line, part...)
+		if c.is200 != nil && c.says200() {
+			c.is200()
+			c.is200 = nil
+		}
 	}
 	return n, err
 }
@@ -154,6 +169,10 @@
 func (c *lineConn) said200() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.says200()
+}
+
+func (c *lineConn) says200() bool {
 	word := bytes.Fields(c.line)
 	return bytes.HasPrefix(c.line, []byte("HTTP/1.")) && bytes.HasSuffix(c.line, []byte("\n")) &&
 		len(word) > 1 && string(word[1]) == "200"
@@ -315,6 +334,10 @@
 			fresh.Store(!info.Reused)
 			if conn, ok := info.Conn.(*lineConn); ok {
 				line.Store(conn)
+				conn.watch(nil)
+				if len(recs) == 1 {
+					conn.watch(func() { time.AfterFunc(restWait, cancel) })
+				}
 			}
 			if !c.by.IsZero() && !time.Now().Before(c.by) {
 				c.holdBack(errTooLate)
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -244,6 +244,45 @@
 	}
 }
 
+// Guards the slot of a call whose answer says 200 and never ends, in its head or
+// in its body: it is delivered by its first line, and nobody waits for the rest.
+func TestAnswerThatNeverEnds(t *testing.T) {
+	for name, text := range map[string]string{
+		"head": "HTTP/1.1 200 OK\r\nContent-",
+		"body": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
+		"none": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			addr := rawEndpoint(t, func(conn net.Conn) {
+				if readCall(bufio.NewReader(conn)) {
+					io.WriteString(conn, text)
+					io.Copy(io.Discard, conn) // until the relay lets go of it
+				}
+				close(ended)
+			})
+			conns := testConns(t, 2)
+			defer conns.CloseIdleConnections()
+			c, limit := newTestCall(), time.Hour
+			defer c.stop(nil)
+			done := make(chan outcome, 1)
+			go func() { done <- runOne(c, conns, addr, &wal.Record{ID: "m"}, limit) }()
+			waitFor(t, "the outcome", func() bool { return len(done) > 0 })
+			if o := <-done; o.what != decide.Delivered || !o.settled {
+				t.Errorf("got %+v", o)
+			}
+			waitFor(t, "the end of the connection", func() bool {
+				select {
+				case <-ended:
+					return true
+				default:
+					return false
+				}
+			})
+		})
+	}
+}
+
 // Guards against a client library that sends a call again by itself: an
 // idempotency key makes a POST replayable to net/http, which would repeat it
 // where a kept-alive connection breaks under it.
