Take nothing on for a client that has given up by the time the answer is ready

A client closes its connection after 400 ms without an answer and hands the message in elsewhere. handIn wrote +OK whenever the log was done, and where the close and the answer came at one moment chose by chance; the message was then held to be heard and was sent, beside the same one under its new id.

An answer +OK that is ready no sooner than 400 ms after the request was read becomes -BUSY, harmless should the client be there after all, and the message is withdrawn. Test: TestTakenOnTooLate, which without the mend gets +OK.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -225,6 +225,9 @@
 	// One that says nothing, or nothing but PING, would hold a descriptor just so:
 	// until it hands in a message the time counts from connecting or its last PING.
 	patience time.Duration
+	// A client that has waited for so long has given up and hands its message in
+	// elsewhere: the message is not taken on here.
+	givenUp time.Duration
 
 	mu      sync.Mutex
 	conns   map[*clientConn]bool
@@ -259,7 +262,7 @@
 
 func newClients(cfg *Config, log *slog.Logger, put func(*request), said func(*request, bool)) *clients {
 	most, _ := cfg.budget()
-	return &clients{cfg: cfg, log: log, put: put, said: said, most: most, patience: wholeWait, conns: map[*clientConn]bool{}}
+	return &clients{cfg: cfg, log: log, put: put, said: said, most: most, patience: wholeWait, givenUp: lateWait, conns: map[*clientConn]bool{}}
 }
 
 // reusePort lets the next process listen at the same address beside this one.
@@ -648,6 +651,10 @@
 		ahead = &next
 		reply = <-q.reply
 	}
+	if reply == replyOK && time.Since(cmd.at) >= c.givenUp {
+		c.said(q, false)
+		return c.write(cc, busy(0)), ahead // harmless, should it still be there
+	}
 	ok := c.write(cc, reply)
 	c.said(q, ok)
 	return ok, ahead
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -113,6 +113,20 @@
 	q.answer(replyOK) // comes too late and blocks nobody
 }
 
+// Guards against taking on too late: whoever has waited for as long as clients
+// wait hands the message in elsewhere, and is not told that it is taken on here.
+func TestTakenOnTooLate(t *testing.T) {
+	c, addr, said := serveClients(t, accept)
+	c.givenUp = 0
+	cl := dialClient(t, addr)
+	if s := cl.put("m", fields("plain", 8000, 1), nil); s != "-BUSY" {
+		t.Errorf("answer %q", s)
+	}
+	if <-said {
+		t.Error("held to be heard")
+	}
+}
+
 // A client that sends ahead gets its answers in turn.
 func TestSentAhead(t *testing.T) {
 	first := make(chan *request, 1)
