Have peers that waste connections make room before clients do

Only idle connections made room (evict): peers that begin a command and do not go on, or that have their error and do not leave, were busy, so that a flood of them went over the bound on connections, and so on descriptors, and pushed out clients' idle ones.

Now those that have ended make room first, then the one idle longest, then one whose peer has begun a command and never handed anything in. A client that waits for its answer is never among them.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -386,19 +386,46 @@
 	discard(cc.Conn)
 }
 
-// evict closes the connection that has been idle for longest, to make room for
-// a new one: clients open another when they need it. The caller holds mu.
+// evict closes a connection to make room for a new one: one that has ended and
+// only waits for its peer, else the one that has been idle for longest, since
+// clients open another when they need it, else the one whose peer has begun a
+// command and has handed in nothing before. The caller holds mu.
 func (c *clients) evict() {
-	var oldest *clientConn
+	var out *clientConn
 	for cc := range c.conns {
-		if cc.busy == 0 && (oldest == nil || cc.idle.Before(oldest.idle)) {
-			oldest = cc
+		if out == nil || cc.keepRank() < out.keepRank() || cc.keepRank() == out.keepRank() && cc.idle.Before(out.idle) {
+			out = cc
 		}
 	}
-	if oldest != nil {
-		delete(c.conns, oldest)
-		oldest.release()
+	if out == nil || out.keepRank() == keepAlways {
+		return
+	}
+	delete(c.conns, out)
+	if out.over {
+		out.SetReadDeadline(time.Unix(1, 0))
+	} else {
+		out.release()
+	}
+}
+
+// Ranks of connections, by how much they are worth keeping.
+const (
+	keepEnded = iota
+	keepIdleOne
+	keepHalf
+	keepAlways
+)
+
+func (cc *clientConn) keepRank() int {
+	switch {
+	case cc.over:
+		return keepEnded
+	case cc.busy == 0:
+		return keepIdleOne
+	case !cc.by.IsZero():
+		return keepHalf
 	}
+	return keepAlways
 }
 
 // closeIdle closes the connections that carry no request, and each of the
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -194,6 +194,54 @@
 	}
 }
 
+// Guards the limit on descriptors against a flood: peers that begin a command and
+// do not go on, and peers that are let go and do not leave, make room like idle
+// ones. A client that comes meanwhile is served, one that waits for its answer kept.
+func TestFloodBounded(t *testing.T) {
+	got := make(chan *request, 1)
+	c, addr, _ := serveClients(t, func(q *request) {
+		if q.rec.ID == "waits" {
+			got <- q
+			return
+		}
+		accept(q)
+	})
+	c.mu.Lock()
+	c.most = 4
+	c.mu.Unlock()
+	waits := dialClient(t, addr)
+	io.WriteString(waits, putText("waits", fields("plain", 8000, 1), nil))
+	q := <-got
+	for i := range 20 {
+		peer := dialClient(t, addr)
+		if i%2 == 0 {
+			io.WriteString(peer, "no command\r\n")
+			peer.line() // its error: it is told, and does not leave
+		} else {
+			io.WriteString(peer, "*5\r\n$7\r\nMSG")
+			waitFor(t, "the command's beginning", func() bool {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				for cc := range c.conns {
+					if cc.RemoteAddr().String() == peer.LocalAddr().String() {
+						return cc.busy > 0
+					}
+				}
+				return false
+			})
+		}
+		if n := c.count(); n > 4 {
+			t.Fatalf("%d connections, 4 allowed", n)
+		}
+	}
+	if s := dialClient(t, addr).put("m", fields("plain", 8000, 1), nil); s != "+OK" {
+		t.Errorf("a client in the flood: %q", s)
+	}
+	if q.answer(replyOK); waits.line() != "+OK" {
+		t.Error("the one that waits for its answer has none")
+	}
+}
+
 // Guards the limit on descriptors: one that was let go just as a request began
 // is answered, and then closed, since it is counted no longer.
 func TestReleasedAsRequestBegins(t *testing.T) {
