Count as untried what was only turned away before a restart

The logs name them: messages that had been turned away before the restart, or whose call since had found no connection:

The mend went by the number of tries, which holds those as well. It goes now by whether a message has surely not run, and by whether a call since the restart has reached anybody. TestKeptIsTried has both cases, and fails with the line taken out ("ended 9515 ms before its time, never sent").

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -179,7 +179,8 @@
 		return
 	}
 	c := &p.set.Classes[e.Class]
-	m := &message{id: e.Message, key: e.Key, class: c, dest: p.dest(e.Dest), worth: c.Worth, kept: e.Kept}
+	m := &message{id: e.Message, key: e.Key, class: c, dest: p.dest(e.Dest), worth: c.Worth,
+		kept: e.Kept && e.DoubtAt == 0}
 	m.deadline = p.now + max(e.Left, 0)
 	m.aimAt = m.deadline - c.Deadline + c.Aim
 	if p.set.WorthByWork && e.Work > 0 {
@@ -259,7 +260,7 @@
 			d.clearAt += p.drain(d)
 		}
 		for _, m := range p.live {
-			if p.refusable(m) && !m.untried() {
+			if p.refusable(m) && !m.kept {
 				if v := p.value(m, min(m.dest.clearAt, m.deadline)); v < low {
 					least, low = m, v
 				}
@@ -426,6 +427,7 @@
 		p.doubt(m, c.sent, c.ep.zone)
 	}
 	m.failedAt = c.ep
+	m.kept = m.kept && (e.Outcome == NotSent || e.Outcome == NoConnect)
 	switch {
 	case m.over:
 		p.forget(m)
@@ -988,7 +990,7 @@
 	if trial {
 		l.hist.request(p.now) // recovery bounds trial calls harder than the formula would
 	} else if p.dropped(l) {
-		if !d.pick.untried() { // what an earlier process took on loses its turn, not its call
+		if !d.pick.kept { // what an earlier process took on loses its turn, not its call
 			p.end(d.pick)
 		}
 		return
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -577,6 +577,7 @@
 		for range 40 {
 			e := r.message(0, 0)
 			e.Kept, e.Left = true, 10*second
+			e.Tries = int(e.Message) % 3 // turned away before the restart
 			kept[e.Message], deadline[e.Message] = true, r.now+e.Left
 			events = append(events, e)
 		}
@@ -590,8 +591,14 @@
 			for _, a := range r.acts {
 				switch a.Kind {
 				case ActSend:
-					sent[a.Message] = true
-					events = append(events, answer(a, Errored)) // the draw drops nine in ten
+					e := answer(a, Errored) // the draw drops nine in ten
+					if p.msgs[a.Message].tries%4 == 1 {
+						e.Outcome = NoConnect // nobody has seen this one
+					} else {
+						sent[a.Message] = true
+					}
+					e.Attempt = p.msgs[a.Message].tries - 1
+					events = append(events, e)
 				case ActRefuse, ActFail:
 					if !kept[a.Message] {
 						refused++
--- a/decide/state.go
+++ b/decide/state.go
@@ -109,7 +109,7 @@
 	worth    float64
 	loss     float64 // of worth, if it waits: as last weighed
 	over     bool
-	kept     bool // an earlier process took it on
+	kept     bool // an earlier process took it on, it has surely not run, and no call has reached anybody since
 	place    int  // in Policy.live
 	tries    int
 	doubtAt  Time      // send of the first attempt that may have run; 0 for none
@@ -118,9 +118,6 @@
 	call     *call
 }
 
-// untried: an earlier process took it on, and no call of it has been made.
-func (m *message) untried() bool { return m.kept && m.tries == 0 }
-
 // call is one call out, with the messages that share it.
 type call struct {
 	ep     *endpoint
