Answer what was sent ahead before a connection is let go

finish told talk to close as soon as no request was being worked on, though the next one lay in the reader's buffer or in the kernel: read, and dropped with no answer. Now the reader ends the connection, by the way that resting ones are let go: it answers whatever has come by then, and only what crosses the shutdown itself is dropped. Ruled out: a reset (each connection ended cleanly) and a request sent on (none).

TestShutdownOrders: no connection is reset, what came together is answered whole, what was answered +OK is delivered or ended by this process or the next, what was refused or not answered is never sent. TestReleasedAsRequestBegins asked finish for its word, which it no longer gives, and now wants the reader to end.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -561,14 +561,16 @@
 	}
 }
 
-// finish marks a request answered; it reports whether the connection is to be
-// closed now.
-func (c *clients) finish(cc *clientConn) bool {
+// finish marks a request answered. Where that was the last on its connection, the
+// reader ends once nothing more has come: what was sent ahead is answered too.
+func (c *clients) finish(cc *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc.busy--
 	cc.idle = time.Now()
-	return (c.closing || cc.left) && cc.busy == 0
+	if (c.closing || cc.left) && cc.busy == 0 {
+		cc.release()
+	}
 }
 
 type command struct {
@@ -626,10 +628,10 @@
 				return
 			}
 			ok := false
-			ok, more = c.one(cc, cmd, commands)
-			if !ok || c.finish(cc) {
+			if ok, more = c.one(cc, cmd, commands); !ok {
 				return
 			}
+			c.finish(cc)
 		}
 	}
 }
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -252,8 +253,10 @@
 	c.conns[cc] = true
 	c.evict()
 	c.begin(cc)
-	if !c.finish(cc) {
-		t.Error("it stays open and is counted no longer")
+	c.read(cc)
+	c.finish(cc)
+	if _, err := near.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("it stays open and is counted no longer: %v", err)
 	}
 }
 
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -88,6 +89,7 @@
 type gotCall struct {
 	id, key, timeout string
 	body             []byte
+	ok               bool // it was answered 200
 }
 
 func newFakeEndpoint(t *testing.T, answer func(w http.ResponseWriter, r *http.Request, n int)) *fakeEndpoint {
@@ -98,12 +100,16 @@
 			return
 		}
 		e.mu.Lock()
-		e.calls = append(e.calls, gotCall{r.Header.Get("X-Request-ID"), r.Header.Get("Idempotency-Key"), r.Header.Get("X-Timeout-Ms"), body})
+		e.calls = append(e.calls, gotCall{r.Header.Get("X-Request-ID"), r.Header.Get("Idempotency-Key"), r.Header.Get("X-Timeout-Ms"), body, false})
 		n, answer := len(e.calls), e.answer
 		e.mu.Unlock()
+		said := &statusWriter{ResponseWriter: w, code: http.StatusOK}
 		if answer != nil {
-			answer(w, r, n)
+			answer(said, r, n)
 		}
+		e.mu.Lock()
+		e.calls[n-1].ok = said.code == http.StatusOK
+		e.mu.Unlock()
 		var items []batchItem
 		if r.URL.Path == batchPath && json.Unmarshal(body, &items) == nil {
 			states := []map[string]string{}
@@ -117,6 +123,24 @@
 	return e
 }
 
+// statusWriter keeps the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	code int
+}
+
+func (w *statusWriter) WriteHeader(code int) {
+	w.code = code
+	w.ResponseWriter.WriteHeader(code)
+}
+
+// answered reports whether a call of one message was answered 200.
+func (e *fakeEndpoint) answered(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.ContainsFunc(e.calls, func(c gotCall) bool { return c.id == id && c.ok })
+}
+
 // hang holds a call until its caller is gone.
 func hang(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() }
 
