Read indented lists on the watch, and heed no change from before what is known

A change over several lines failed at its first ("{"), the watch ended, and after a pause the whole list was asked for: with a discovery that indents all it writes, five times a second for ever, and with word of a drain later by the pause. And a change whose version lay before what is known was booked, so that an endpoint could leave or come back by old news.

A line that ends in the middle of a list is now read on with the next ones, which must follow within 100 ms, else it was cut and the whole list is had again as before; a change that goes back has it had again as well.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"net"
@@ -73,6 +75,52 @@
 
 // Guards against a watch that is open and dead: one that says nothing, not
 // even an empty line, is given up.
+// Guards against lists that come indented over several lines: they are news like
+// any other, and no reason to ask for the whole list.
+func TestWatchIndented(t *testing.T) {
+	m := discovery.Member{ID: "s-1", HostPort: "127.0.0.1:1", Cell: 3, Phase: discovery.Up}
+	d := discoverytest.New(t, m)
+	news := watchList(t, d, time.Minute)
+	next(t, news)
+	m.Phase = discovery.Draining
+	var text bytes.Buffer
+	if err := json.Indent(&text, []byte(discoverytest.Change(2, m)), "", "  "); err != nil {
+		t.Fatal(err)
+	}
+	d.Say(t, text.String())
+	if l := next(t, news); l.Revision != 2 || l.Complete || l.Members[0].Phase != discovery.Draining {
+		t.Fatalf("then %+v", l)
+	}
+	m.Phase = discovery.Up
+	d.Say(t, "\n"+text.String()+"\n"+discoverytest.Change(3, m))
+	next(t, news)
+	if l := next(t, news); l.Revision != 3 {
+		t.Fatalf("at last %+v", l)
+	}
+	d.Mu.Lock()
+	defer d.Mu.Unlock()
+	if d.Fetches != 1 || len(d.Froms) != 1 {
+		t.Errorf("%d fetches, %d watches, want one of each", d.Fetches, len(d.Froms))
+	}
+}
+
+// Guards against a version that goes back: a change from before what is known
+// fits nothing, and the whole list is had again.
+func TestWatchGoesBack(t *testing.T) {
+	m := discovery.Member{ID: "s-1", HostPort: "127.0.0.1:1", Cell: 3, Phase: discovery.Up}
+	d := discoverytest.New(t, m)
+	news := watchList(t, d, time.Minute)
+	next(t, news)
+	d.Say(t, discoverytest.Change(5, m))
+	next(t, news)
+	gone := m
+	gone.Phase = discovery.Removed
+	d.Say(t, discoverytest.Change(3, gone))
+	if l := next(t, news); !l.Complete {
+		t.Fatalf("then %+v", l)
+	}
+}
+
 func TestSilentWatch(t *testing.T) {
 	d := discoverytest.New(t, discovery.Member{ID: "s-1", HostPort: "127.0.0.1:1", Phase: discovery.Up})
 	news := watchList(t, d, 100*time.Millisecond)
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -6,9 +6,11 @@
 package discovery
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 )
@@ -60,12 +62,17 @@
 	return l != nil && l.Complete && !slices.ContainsFunc(l.Members, func(m Member) bool { return m.Check() != nil })
 }
 
-// Parse reads a list, or a line of a watch.
+// Parse reads a list, or a line of a watch. Where the text ends in the middle of
+// one the error is an io.ErrUnexpectedEOF.
 func Parse(text []byte) (*List, error) {
 	l := &List{}
-	if err := json.Unmarshal(text, l); err != nil {
+	in := json.NewDecoder(bytes.NewReader(text))
+	if err := in.Decode(l); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	if _, err := in.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("discovery: something follows the list")
+	}
 	if l.Members == nil {
 		return nil, errors.New("discovery: no members")
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -33,6 +33,7 @@
 	discStart   = time.Second            // within which a start asks: what drains must be left 2 s after its agent has word of it
 	discTold    = 4 * time.Second        // within which a second try comes: after a move word counts as heard by then
 	discQueue   = 2 * time.Second        // that an answer is waited for longer, however large the fleet
+	discRest    = 100 * time.Millisecond // for the rest of a list that goes on after its line: it is written at once
 	listMost    = 4 << 20                // bytes of a list or a line
 )
 
@@ -252,22 +253,34 @@
 	quiet.Reset(d.silence)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), listMost)
+	var text []byte // of a list that may go on in the next line: they come indented, too
 	for rev = from; lines.Scan(); {
 		quiet.Reset(d.silence)
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 {
+		text = append(text, lines.Bytes()...)
+		if len(bytes.TrimSpace(text)) == 0 {
+			text = text[:0]
 			continue
 		}
 		l, err := Parse(text)
+		if errors.Is(err, io.ErrUnexpectedEOF) && len(text) < listMost {
+			quiet.Reset(discRest)
+			continue
+		}
+		if err == nil && !l.Complete && l.Revision < rev {
+			err = fmt.Errorf("discovery: a change back from revision %d to %d", rev, l.Revision)
+		}
 		if err != nil {
 			return rev, false, err
 		}
-		rev = l.Revision
+		text, rev = text[:0], l.Revision
 		d.news(l)
 	}
 	if err = lines.Err(); errors.Is(err, bufio.ErrTooLong) {
 		return rev, false, fmt.Errorf("discovery: %w", err)
 	}
+	if len(text) > 0 {
+		return rev, false, errors.New("discovery: a line was cut")
+	}
 	if err == nil {
 		err = io.EOF
 	}
