Take no bytes that came after an answer for the answer to the next call

The renewed test has spoilt answers and bytes in any moment. TestBytesAfterAnAnswer forces one crossing: a call waits for its connection while an answer, with another behind it, comes on one in use.

net/http hands a connection to a call that waits as soon as the answer on it is over, and what its reader had taken in beyond that answer is read as the next one. Its own check ("Unsolicited response") comes only where no call has the connection by then. Ruled out: a request sent twice (came once in each play).

lineConn now hands on a byte at a time and keeps the rest. Where something is left, or has come unread, as a call takes the connection, or comes before that call is written, the connection carries no call: it is held back as never sent.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -29,6 +29,7 @@
 	probePath   = "/health/live"
 	answerMost  = 1 << 20         // bytes of an answer that are read
 	answerLine  = 256             // bytes of its first line
+	readMost    = 4 << 10         // bytes that are read at a time
 	probeWait   = 2 * time.Second // a probe that takes longer has failed
 	idleMargin  = 10              // one part in so many of the keep-alive is left unused
 	longestWait = 10 * time.Minute
@@ -113,48 +114,93 @@
 	}
 }
 
-// lineConn keeps the first line of the newest answer. net/http tells nothing of
-// an answer that it cannot read to the end of its head, but a call of one
-// message is delivered once its first line says so.
+// lineConn stands between net/http and a connection to an endpoint, for what
+// net/http does not tell or do.
+//
+// It keeps the first line of the newest answer: of one that it cannot read to the
+// end of its head net/http tells nothing, but a call of one message is delivered
+// once its first line says so.
+//
+// And it sees to it that an answer is one to the call that is out. net/http gives
+// a connection to a call that waits for one the moment an answer on it is over;
+// bytes that came behind that answer would be read as the answer to the next.
+// So it hands on a byte at a time, and keeps what has not been asked for.
 type lineConn struct {
 	net.Conn
 	mu    sync.Mutex
-	line  []byte // as far as it has come
+	buf   []byte // that is read into
+	came  []byte // of it, and not handed on
+	asked bool   // the newest call has begun to write its request
+	stale bool   // bytes have come that belong to no call: the connection carries no more
+	err   error  // that ends what came
+	line  []byte // as far as it has been handed on
 	ended bool   // nothing more can be read
 	is200 func() // called once a whole first line has come that says 200; may be nil
 }
 
-// watch has f called once the newest answer's first line says 200.
-func (c *lineConn) watch(f func()) {
+var errStale = errors.New("bytes on the connection that answer nothing")
+
+// take gives the connection to a call; f is called once the first line of its
+// answer says 200 and may be nil. It reports false where the connection has
+// bytes on it already and can carry no call.
+func (c *lineConn) take(f func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.is200 = f
+	c.asked, c.is200, c.line = false, f, c.line[:0]
+	c.stale = c.stale || len(c.came) > 0 || unread(c.Conn)
+	return !c.stale
 }
 
 func (c *lineConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	c.line = c.line[:0]
+	stale := c.stale
+	c.asked = true
 	c.mu.Unlock()
+	if stale {
+		return 0, errStale
+	}
 	return c.Conn.Write(b)
 }
 
 func (c *lineConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	for len(b) > 0 {
+		if n, err := c.handOn(b); n > 0 || err != nil {
+			return n, err
+		}
+		if c.buf == nil {
+			c.buf = make([]byte, readMost)
+		}
+		n, err := c.Conn.Read(c.buf)
+		c.mu.Lock()
+		c.came, c.err = c.buf[:n], err
+		c.stale = c.stale || n > 0 && !c.asked
+		c.mu.Unlock()
+	}
+	return 0, nil
+}
+
+// handOn gives the next byte that has come, if there is one.
+func (c *lineConn) handOn(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = c.ended || err != nil
-	if i := len(c.line); n > 0 && i < answerLine && (i == 0 || c.line[i-1] != '\n') {
-		part := b[:min(n, answerLine-i)]
-		if end := bytes.IndexByte(part, '\n'); end >= 0 {
-			part = part[:end+1]
-		}
-		c.line = append(c.line, part...)
-		if c.is200 != nil && c.says200() {
+	switch {
+	case c.stale:
+		c.ended = true
+		return 0, errStale
+	case len(c.came) == 0:
+		c.ended = c.ended || c.err != nil
+		return 0, c.err
+	}
+	b[0] = c.came[0]
+	c.came = c.came[1:]
+	if n := len(c.line); n < answerLine && (n == 0 || c.line[n-1] != '\n') {
+		c.line = append(c.line, b[0])
+		if b[0] == '\n' && c.is200 != nil && c.says200() {
 			c.is200()
 			c.is200 = nil
 		}
 	}
-	return n, err
+	return 1, nil
 }
 
 // unreadable reports whether an answer has come and its connection still stands:
@@ -334,16 +380,19 @@
 			fresh.Store(!info.Reused)
 			if conn, ok := info.Conn.(*lineConn); ok {
 				line.Store(conn)
-				conn.watch(nil)
+				var told func()
 				if len(recs) == 1 {
-					conn.watch(func() { time.AfterFunc(restWait, cancel) })
+					told = func() { time.AfterFunc(restWait, cancel) }
+				}
+				if !conn.take(told) {
+					c.holdBack(errStale)
 				}
 			}
 			if !c.by.IsZero() && !time.Now().Before(c.by) {
 				c.holdBack(errTooLate)
 			}
 			if !c.stage.CompareAndSwap(callWaiting, callSending) && c.stage.Load() == callStopped {
-				cancel() // a drain, a wait or the end of its time came first
+				cancel() // a drain, a wait, the end of its time or what answers nothing came first
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
