Test SIGTERM before a relay is ready, and an endpoint gone and back in one change

TestTerminatedBeforeReady ends a process, with SIGHUP between, whose discovery has never answered: exit code 0. TestGoneAndBackInOneChange has one change remove an endpoint and bring it back elsewhere, then the other way round: what is said last holds.

--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -20,6 +20,7 @@
 	"troutusher/decide"
 	"troutusher/internal/discovery"
 	"troutusher/internal/discovery/discoverytest"
+	"troutusher/internal/loopback"
 	"troutusher/internal/wal"
 )
 
@@ -376,6 +377,67 @@
 	}
 }
 
+// Guards SIGTERM before a process is ready: it ends in order, also where discovery
+// never answers and SIGHUP comes between.
+func TestTerminatedBeforeReady(t *testing.T) {
+	disc := discoverytest.New(t)
+	disc.Set(func(d *discoverytest.Server) { d.Silent = true })
+	c := spawn(t, testConfig(t, disc, 3))
+	waitFor(t, "the start", func() bool { disc.Mu.Lock(); defer disc.Mu.Unlock(); return disc.Unheard > 0 })
+	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		c.cmd.Process.Signal(sig)
+	}
+	if err := c.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
+// Guards against an endpoint that is removed and returns in one change: what it
+// says last holds, either way.
+func TestGoneAndBackInOneChange(t *testing.T) {
+	first, then := newFakeEndpoint(t, nil), newFakeEndpoint(t, nil)
+	m := first.member("s-1", 1)
+	gone, back := m, then.member("s-1", 1)
+	gone.Phase = discovery.Removed
+	disc := discoverytest.New(t, m)
+	env := testConfig(t, disc, 3)
+	env["ROUTER_OPERATOR"] = loopback.Free()
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	put := func(id string) {
+		t.Helper()
+		if s := cl.put(id, fields("once", 20000, 1), nil); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+	}
+	put("a")
+	waitFor(t, "a", func() bool { return first.count("a") == 1 })
+	say := func(rev int64, members ...discovery.Member) {
+		text, err := json.Marshal(discovery.List{Revision: rev, Members: members})
+		if err != nil {
+			t.Fatal(err)
+		}
+		disc.Say(t, string(text))
+	}
+	say(2, gone, back)
+	n := 0
+	waitFor(t, "its new address", func() bool {
+		n++
+		id := fmt.Sprintf("b%d", n)
+		put(id)
+		waitFor(t, id, func() bool { return first.count(id)+then.count(id) == 1 })
+		return then.count(id) == 1
+	})
+	say(3, back, gone)
+	waitFor(t, "its going", func() bool { return c.figure(t, "app_members") == 0 })
+	put("c")
+	if n := first.count("c") + then.count("c"); n != 0 {
+		t.Errorf("a message went to an endpoint that is gone %d times", n)
+	}
+	say(4, back)
+	waitFor(t, "the return", func() bool { return then.count("c") == 1 })
+}
+
 // Guards the disk: full holdings of long bodies may not fit into it, and what
 // does not fit is refused before the folder is over its limit.
 func TestDiskBound(t *testing.T) {
