Give the property tests over orders one world and one kind of client

Shutdown and hand-over set up the same destination, clients and wait for ends, line for line. orders_test.go holds them once.

--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -3,14 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
-
-	"troutusher/internal/discovery/discoverytest"
 )
 
 // Property over the orders of a hand-over: a second process comes beside the
@@ -22,22 +18,10 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 8))
-			var mu sync.Mutex // of the endpoint's draws
-			draws := rand.New(rand.NewPCG(seed, 9))
-			ep := newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, n int) {
-				mu.Lock()
-				pause := time.Duration(draws.IntN(150)) * time.Millisecond
-				mu.Unlock()
-				time.Sleep(pause)
-			})
-			disc := discoverytest.New(t, ep.member("s-1", 7))
-			env := testConfig(t, disc, 3)
-			first := startChild(t, env)
-			var clients []*shutdownClient
-			var playing sync.WaitGroup
+			o := newOrders(t, seed, 150*time.Millisecond, 0)
+			first := startChild(t, o.env)
 			for i := range 40 {
-				s := &shutdownClient{}
-				clients = append(clients, s)
+				s := &orderClient{}
 				var parts []string
 				var pauses []time.Duration
 				for range 3 {
@@ -49,15 +33,11 @@
 					pauses = append(pauses, time.Duration(rng.IntN(300))*time.Millisecond)
 				}
 				before := time.Duration(rng.IntN(1500)) * time.Millisecond
-				playing.Add(1)
-				go func() {
-					defer playing.Done()
-					s.play(env["ROUTER_LISTEN"], before, pauses, parts...)
-				}()
+				o.play(s, before, pauses, parts...)
 			}
 			wait := func(most int) { time.Sleep(time.Duration(rng.IntN(most)) * time.Millisecond) }
 			wait(300)
-			second := spawn(t, env)
+			second := spawn(t, o.env)
 			signals := []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGKILL}
 			killed := false
 			both := []*child{first, second}
@@ -68,31 +48,28 @@
 				killed = killed || sig == syscall.SIGKILL
 				c.cmd.Process.Signal(sig)
 			}
-			playing.Wait()
+			o.playing.Wait()
 			for _, c := range both {
 				if err := c.cmd.Wait(); err != nil && !killed {
 					t.Errorf("exit: %v", err)
 				}
 			}
-			startChild(t, env)
+			startChild(t, o.env)
 			taken := 0
-			for i, s := range clients {
+			for i, s := range o.clients {
 				if s.end != nil && !killed {
 					t.Errorf("client %d: %v", i, s.end)
 				}
 				for j, id := range s.ids {
-					if j < len(s.answers) && s.answers[j] == "+OK" {
+					if s.taken(j) {
 						taken++
-						waitFor(t, "the end of "+id, func() bool {
-							_, ended := disc.Notice(id)
-							return ended || ep.answered(id)
-						})
+						o.over(id)
 					}
 				}
 			}
-			for _, s := range clients { // once all is over
+			for _, s := range o.clients { // once all is over
 				for j, id := range s.ids {
-					n := ep.count(id)
+					n := o.ep.count(id)
 					refused := j < len(s.answers) && strings.HasPrefix(s.answers[j], "-BUSY")
 					switch {
 					case n > 1 && s.once[j]:
