--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -14,7 +14,6 @@
 type relay struct {
 	policy   *decide.Policy
 	left, to int // places of the load values in a report; -1 when absent
-	kinds    int
 	events   []decide.Event
 	queued   bool
 }
--- a/decide/containers.go
+++ b/decide/containers.go
@@ -59,12 +59,6 @@
 	return c.sum[1] * 1e6 / float64(max(span, c.width*2))
 }
 
-func (c *counter) reset() {
-	clear(c.bins)
-	c.sum = [2]float64{}
-	c.hasStart = false
-}
-
 // bucket is a token bucket whose rate (a second) and depth the caller gives; it starts full, or empty at a later
 // moment where at is set.
 type bucket struct {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -28,7 +28,6 @@
 	next   uint32
 	sends  []Action
 	sentAt []Time
-	events []Event
 }
 
 func newRig(t *testing.T, s Settings, entries ...Entry) *rig {
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -9,15 +9,15 @@
 // The checker below keeps books of its own, from the events it hands out and the actions it gets back.
 
 type heldMsg struct {
-	class, dest, zone       int
-	key                     uint64
-	seq                     int
-	deadline                Time
-	tries                   int
-	out                     bool
-	firstDoubt              Time
-	doubt, done, wasRefused bool
-	at                      Endpoint
+	class, dest, zone int
+	key               uint64
+	seq               int
+	deadline          Time
+	tries             int
+	out               bool
+	firstDoubt        Time
+	doubt, done       bool
+	at                Endpoint
 }
 
 type flight struct {
@@ -26,7 +26,6 @@
 	at      Endpoint
 	cut     Time
 	due     Time
-	outcome Outcome
 }
 
 type checker struct {
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -144,7 +144,7 @@
 	if s := cl.line() + cl.line() + cl.line(); s != "+OK-BUSY 7+PONG" {
 		t.Errorf("answers %q", s)
 	}
-	if !<-said || !<-said {
+	if heardFirst, heardSecond := <-said, <-said; !heardFirst || !heardSecond {
 		t.Error("not held to be heard")
 	}
 }
--- a/internal/wal/core.go
+++ b/internal/wal/core.go
@@ -43,7 +43,6 @@
 	buf    []byte
 	put    []placed
 	fresh  map[string]bool // of the batch: taken, or ended
-	read   reader
 	ends   []error
 	aside  int64 // bytes of damaged files that are kept
 	forced bool  // what is written now has its room already
--- a/internal/wal/damage_test.go
+++ b/internal/wal/damage_test.go
@@ -176,7 +176,7 @@
 	}
 	mustAppend(t, l, taken("c", "C"))
 	l.c.shut()
-	if l, owed = openTest(t, dir, 1<<20); len(owed) != 3 || owed[2].Doubt != 0 {
+	if _, owed = openTest(t, dir, 1<<20); len(owed) != 3 || owed[2].Doubt != 0 {
 		t.Errorf("then %q", describe(owed))
 	}
 }
