--- a/internal/registry/agent/agent.go
+++ b/internal/registry/agent/agent.go
@@ -22,14 +22,16 @@
 	"time"
 
 	"troutusher/internal/discovery"
+	"troutusher/internal/mailbox"
 	"troutusher/internal/registry/client"
 )
 
 const (
-	watchQuiet  = 2 * time.Second
-	historyMost = 1024 // changes that the relay's watch may go on from
-	watchesMost = 64
-	reportMost  = 1 << 20
+	watchQuiet = 2 * time.Second
+	maxHistory = 8192 // changes that the relay's watch may go on from: more than a zone of the largest fleet has members
+	reportMost = 1 << 20
+
+	maxChangesBooked = 1024 // that are booked with one sync
 )
 
 // Options say where an agent serves, keeps and asks.
@@ -60,8 +62,12 @@
 	ctx    context.Context
 	wg     sync.WaitGroup
 
+	in *mailbox.Mailbox[client.News]
+
 	mu      sync.Mutex
 	kept    kept
+	journal journal // of what has changed since the whole list was written
+	told    bool    // a list has been handed on since the start
 	history []discovery.List
 	news    chan struct{}
 	up      bool
@@ -78,7 +84,8 @@
 	if err := os.MkdirAll(o.Folder, 0o700); err != nil {
 		return nil, fmt.Errorf("agent: %w", err)
 	}
-	a := &Agent{o: o, client: c, news: make(chan struct{}), kept: kept{Members: map[string]discovery.Member{}}}
+	a := &Agent{o: o, client: c, in: mailbox.New[client.News](), news: make(chan struct{}),
+		kept: kept{Members: map[string]discovery.Member{}}, journal: journal{path: filepath.Join(o.Folder, journalName)}}
 	if err := a.load(); err != nil {
 		return nil, err
 	}
@@ -95,15 +102,16 @@
 	mux.HandleFunc("GET /v1/status", a.getStatus)
 	a.http = &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ErrorLog: slog.NewLogLogger(o.Log.Handler(), slog.LevelDebug)}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
-	a.wg.Add(3)
+	a.wg.Add(4)
 	go func() { defer a.wg.Done(); a.http.Serve(a.ln) }()
 	go func() {
 		defer a.wg.Done()
 		a.mu.Lock()
 		from := a.kept.At
 		a.mu.Unlock()
-		a.client.Follow(a.ctx, from, a.take, a.isUp)
+		a.client.Follow(a.ctx, from, a.in.Put, a.isUp)
 	}()
+	go func() { defer a.wg.Done(); a.takeAll(a.ctx) }()
 	go func() { defer a.wg.Done(); a.spool.run(a.ctx, a.client) }()
 	return a, nil
 }
@@ -117,6 +125,7 @@
 	a.http.Close()
 	a.wg.Wait()
 	a.spool.close()
+	a.journal.close()
 	a.client.Close()
 }
 
@@ -127,50 +136,86 @@
 	a.heard = time.Now()
 }
 
-// take books news of the group: on disk first, then for whoever watches. A
-// whole list becomes what changed by it, so a watch goes on.
-func (a *Agent) take(n client.News) {
+// takeAll books what the group has told and hands it on, until ctx ends. What
+// came while the disk was busy is booked together.
+func (a *Agent) takeAll(ctx context.Context) {
+	var news []client.News
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.in.Ready():
+		}
+		news = a.in.TakeAll(news)
+		for from := 0; from < len(news); {
+			from += a.takeSome(news[from:])
+		}
+	}
+}
+
+// takeSome books the first of the news, as many as go together: on disk first,
+// then for whoever watches. A whole list becomes what changed by it, so a watch
+// goes on.
+func (a *Agent) takeSome(news []client.News) (n int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.heard = time.Now()
-	changes := n.Members
-	if n.Complete {
-		listed := map[string]bool{}
-		changes = nil
-		for _, m := range n.Members {
-			listed[m.ID] = true
-			if a.kept.Members[m.ID] != m {
-				changes = append(changes, m)
-			}
+	var entries []journalEntry
+	for changed := 0; n < len(news) && changed < maxChangesBooked; n++ {
+		entry := journalEntry{At: client.Position{Epoch: news[n].Epoch, Revision: news[n].Revision}, Revision: a.kept.Revision,
+			Members: a.changes(&news[n]), Saved: a.heard}
+		if len(entry.Members) > 0 {
+			entry.Revision++
 		}
-		for _, id := range sorted(a.kept.Members) {
-			if !listed[id] {
-				m := a.kept.Members[id]
-				m.Phase = discovery.Removed
-				changes = append(changes, m)
-			}
+		a.kept.apply(&entry)
+		entries = append(entries, entry)
+		changed += len(entry.Members)
+	}
+	if a.saveErr = a.save(entries); a.saveErr != nil {
+		a.o.Log.Error("the list could not be kept", "err", a.saveErr) // it is served all the same
+	}
+	a.tell(entries)
+	return n
+}
+
+// changes is what news changes in the list; a.mu is held.
+func (a *Agent) changes(n *client.News) []discovery.Member {
+	if !n.Complete {
+		return n.Members
+	}
+	var changes []discovery.Member
+	listed := map[string]bool{}
+	for _, m := range n.Members {
+		listed[m.ID] = true
+		if a.kept.Members[m.ID] != m {
+			changes = append(changes, m)
 		}
 	}
-	a.kept.At = client.Position{Epoch: n.Epoch, Revision: n.Revision}
-	if len(changes) > 0 {
-		a.kept.Revision++
-		for _, m := range changes {
-			if m.Phase == discovery.Removed {
-				delete(a.kept.Members, m.ID)
-			} else {
-				a.kept.Members[m.ID] = m
-			}
+	for _, id := range sorted(a.kept.Members) {
+		if !listed[id] {
+			m := a.kept.Members[id]
+			m.Phase = discovery.Removed
+			changes = append(changes, m)
 		}
 	}
-	if a.saveErr = a.save(); a.saveErr != nil {
-		a.o.Log.Error("the list could not be kept", "err", a.saveErr) // it is served all the same
+	return changes
+}
+
+// tell hands changes to whoever watches; a.mu is held.
+func (a *Agent) tell(entries []journalEntry) {
+	told := false
+	for _, e := range entries {
+		if len(e.Members) > 0 {
+			a.history = append(a.history, discovery.List{Revision: e.Revision, Members: e.Members})
+			told = true
+		}
 	}
-	if len(changes) == 0 {
+	if !told && a.told {
 		return
 	}
-	a.history = append(a.history, discovery.List{Revision: a.kept.Revision, Members: changes})
-	if len(a.history) > historyMost {
-		a.history = slices.Clone(a.history[len(a.history)-historyMost:])
+	a.told = true
+	if len(a.history) > maxHistory {
+		a.history = slices.Clone(a.history[len(a.history)-maxHistory:])
 	}
 	close(a.news)
 	a.news = make(chan struct{})
--- a/internal/registry/agent/disk.go
+++ b/internal/registry/agent/disk.go
@@ -85,17 +85,35 @@
 		return nil
 	}
 	a.kept = *k
-	return nil
+	a.journal.base = int64(len(text))
+	return a.journal.load(&a.kept, crc32.Checksum(text, castagnoli))
 }
 
-// save writes the list beside the old one and renames it into place, so that a
-// crash at any moment leaves one of the two.
-func (a *Agent) save() error {
+// save books what has changed: in the journal, or with the whole list where that
+// is due.
+func (a *Agent) save(entries []journalEntry) error {
+	if !a.journal.full() {
+		err := a.journal.append(entries)
+		if err == nil {
+			return nil
+		}
+		a.o.Log.Warn("the journal of the list is begun anew", "err", err)
+	}
 	a.kept.Saved = time.Now()
 	text, err := encodeKept(&a.kept)
 	if err != nil {
 		return err
 	}
+	a.journal.close() // it goes on from the list that is replaced now
+	if err := a.saveWhole(text); err != nil {
+		return err
+	}
+	return a.journal.reset(crc32.Checksum(text, castagnoli), int64(len(text)))
+}
+
+// saveWhole writes the list beside the old one and renames it into place, so
+// that a crash at any moment leaves one of the two.
+func (a *Agent) saveWhole(text []byte) error {
 	path := filepath.Join(a.o.Folder, listName)
 	f, err := os.OpenFile(path+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
