Bound the time from a refused call to discovery to the next one by 1.8 s

Reason: a change counts as told 6 s after discovery had it and could be reached, whatever failed before. The spread of the tries after a refused one grew with the fleet and with each failure in a row (up to 5 s + 2 x 100 ms x relays), so a relay that had been refused for 8 s could be waiting out half a minute when discovery was back.

Change: boundedSpread draws the first try after a refusal from 0.2 s to 1.8 s at most, and the next in a row from 0.9 to 1.8 s; what is left of the 6 s is enough for a call that hung until its time limit, another refusal and the answer. It is an input of Watch, so that spreads can be compared (BenchmarkOutage). A connection that ends with no news is opened anew at once only the first time; beyond that it is spread too (it was 0.1 to 0.3 s for ever, by each relay). A run of failures ends with the first line of a watch, not with its status. A silent discovery is asked as before.

TestDiscoveryPause asked that pauses grow with the fleet (at least min(100 ms x relays, 4 s), doubled with each failure): that is the fault itself. In its place it asks for the bound, the room left of the 6 s and the least spread, for four kinds of refusal, six sizes and 100 failures in a row.

--- a/internal/discovery/internal_test.go
+++ b/internal/discovery/internal_test.go
@@ -1,44 +1,74 @@
 package discovery
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 )
 
-// Guards discovery against a fleet that comes back at one moment: tries that
-// are turned away are spread over what it takes to serve all relays, and more
-// with each in a row. A silent or ended watch is no reason for that.
+// Guards word of a change after an outage, and discovery against a fleet that
+// comes back at one moment: however many tries were refused in a row, the next
+// comes within a bound, and those of a large fleet are spread over a second or
+// so, which keeps them under one call a second of each relay.
 func TestDiscoveryPause(t *testing.T) {
-	away := statusError("list", http.StatusServiceUnavailable)
-	for _, relays := range []int{1, 30, 80, 300} {
-		x := NewWatch("127.0.0.1:1", relays, slog.New(slog.DiscardHandler), nil)
-		x.random = func() float64 { return 1 }
-		all := time.Duration(relays) * discTurn
-		last := time.Duration(0)
-		for i := range 3 {
-			this := x.pause(away)
-			if this < min(all, discTold)<<i && this < 2*all || this < last {
-				t.Errorf("%d relays: pause %d is %v at most", relays, i, this)
+	for _, refusal := range []error{statusError("list", http.StatusServiceUnavailable), statusError("list", http.StatusTooManyRequests),
+		fmt.Errorf("discovery: %w", syscall.ECONNREFUSED), fmt.Errorf("discovery: %w", syscall.ECONNRESET)} {
+		for _, relays := range []int{1, 30, 80, 300, 450, 3000} {
+			latest := NewWatch("127.0.0.1:1", relays, slog.New(slog.DiscardHandler), nil)
+			latest.random = func() float64 { return 1 }
+			soonest := NewWatch("127.0.0.1:1", relays, slog.New(slog.DiscardHandler), nil)
+			soonest.random = func() float64 { return 0 }
+			last := time.Duration(0)
+			for i := range 100 {
+				low, high := soonest.pause(refusal), latest.pause(refusal)
+				if low < retryBackoffMin || high > retryBackoffMax || high < last {
+					t.Errorf("%v, %d relays: pause %d is %v to %v, %v at most before", refusal, relays, i, low, high, last)
+				}
+				if relays >= 30 && (high-low < retryBackoffMax/2 || low+high < 2*time.Second || i == 0 && low > 400*time.Millisecond) {
+					t.Errorf("%v, %d relays: pause %d is %v to %v: no spread", refusal, relays, i, low, high)
+				}
+				last = high
+			}
+			if 2*retryBackoffMax >= 4*time.Second {
+				t.Errorf("after a move, whose list counts as told in 4 s, a second refusal leaves no time")
+			}
+			if last != retryBackoffMax {
+				t.Errorf("%d relays: pauses grow to %v alone", relays, last)
+			}
+			// What the answer of a call, or a silent watch, may take is spent before it is known to have failed.
+			hung := max(latest.silence, latest.answer)
+			if left := 6*time.Second - hung - latest.pause(context.DeadlineExceeded) - retryBackoffMax; left < 300*time.Millisecond {
+				t.Errorf("%d relays: a call that hung, and another that is refused, leave %v", relays, left)
 			}
-			last = this
-		}
-		for range 100 {
-			last = x.pause(away)
 		}
-		if last > discAway+discMost+2*all {
-			t.Errorf("%d relays: pauses grow to %v", relays, last)
+	}
+}
+
+// A watch that ended is opened anew at once, once; where that ends too, tries
+// are spread like refused ones. One that hung has taken its time already.
+func TestPauseAfterEnd(t *testing.T) {
+	x := NewWatch("127.0.0.1:1", 300, slog.New(slog.DiscardHandler), nil)
+	x.random = func() float64 { return 1 }
+	for range 2 {
+		if p := x.pause(io.EOF); p > 2*discPause {
+			t.Errorf("a watch that ended is opened anew after %v", p)
 		}
-		if x.pause(io.EOF) > 2*discPause {
-			t.Error("a watch that ended counts as turned away")
+		for range 3 {
+			if p := x.pause(io.EOF); p != retryBackoffMax {
+				t.Errorf("watches that end at once are opened anew after %v at most", p)
+			}
 		}
+		x.recovered()
 	}
-	x := NewWatch("127.0.0.1:1", 80, slog.New(slog.DiscardHandler), nil)
-	x.random = func() float64 { return 0 }
-	if x.pause(away) > discAway {
-		t.Error("a large fleet's tries all come late")
+	for range 3 {
+		if p := x.pause(fmt.Errorf("discovery: %w", errSilent)); p > 2*discPause {
+			t.Errorf("a watch that fell silent is opened anew after %v", p)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/discovery/outage_test.go
@@ -0,0 +1,363 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// growingSpread is the one before boundedSpread, for comparison: it grows with
+// the fleet and with each failure, and word came up to 25 s late.
+func growingSpread(serveAll time.Duration, failures int, draw float64) time.Duration {
+	base := min(min(400*time.Millisecond+serveAll, 4*time.Second)<<min(failures, 8), 5*time.Second+2*serveAll)
+	return 200*time.Millisecond + time.Duration(float64(base)*draw)
+}
+
+// narrowSpread is as fast as that after a watch that ended, and a storm.
+func narrowSpread(_ time.Duration, _ int, draw float64) time.Duration {
+	return time.Duration(float64(200*time.Millisecond) * (0.5 + draw))
+}
+
+// boundPort is a port that refuses connections until it listens. It is bound
+// all the time, so that nothing else takes it.
+type boundPort struct {
+	fd   int
+	addr string
+}
+
+func bindPort(t testing.TB) *boundPort {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &boundPort{fd, fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)}
+}
+
+func (p *boundPort) listen(t testing.TB) net.Listener {
+	t.Helper()
+	if err := syscall.Listen(p.fd, 1024); err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(p.fd), "port")
+	defer file.Close()
+	ln, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// limitedDiscovery turns calls away beyond a rate; a tenth of a second's worth
+// may come at once.
+type limitedDiscovery struct {
+	mu     sync.Mutex
+	rate   float64 // calls a second; 0 for no limit
+	tokens float64
+	at     time.Time
+	calls  []time.Time
+	away   int
+	fault  string // how calls fail while it is set
+	end    context.Context
+}
+
+func (d *limitedDiscovery) admit() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.calls = append(d.calls, now)
+	if d.rate == 0 {
+		return true
+	}
+	d.tokens = min(d.tokens+now.Sub(d.at).Seconds()*d.rate, max(1, d.rate/10))
+	d.at = now
+	if d.tokens < 1 {
+		d.away++
+		return false
+	}
+	d.tokens--
+	return true
+}
+
+func (d *limitedDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	admitted := d.admit()
+	d.mu.Lock()
+	fault := d.fault
+	d.mu.Unlock()
+	if fault != "" {
+		d.fail(w, r, fault)
+		return
+	}
+	if !admitted {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	list := List{Revision: 9, Complete: true, Members: []Member{{ID: "s-1", HostPort: "127.0.0.1:1", Phase: Up}}}
+	if r.URL.Query().Get("watch") == "" {
+		json.NewEncoder(w).Encode(list)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	if r.URL.Query().Get("from") != "9" {
+		json.NewEncoder(w).Encode(list)
+	}
+	for beat := time.NewTicker(time.Second); ; {
+		w.(http.Flusher).Flush()
+		select {
+		case <-beat.C:
+			w.Write([]byte("\n"))
+		case <-r.Context().Done():
+			return
+		case <-d.end.Done():
+			return
+		}
+	}
+}
+
+// fail spoils a call: its connection ends or is reset with no answer, nothing
+// is said on it for good, or it is turned away.
+func (d *limitedDiscovery) fail(w http.ResponseWriter, r *http.Request, fault string) {
+	switch fault {
+	case "silent":
+		select {
+		case <-r.Context().Done():
+		case <-d.end.Done():
+		}
+		panic(http.ErrAbortHandler)
+	case "closed", "reset":
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		if fault == "reset" {
+			conn.(*net.TCPConn).SetLinger(0)
+		}
+		conn.Close()
+	case "503":
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case "429":
+		w.WriteHeader(http.StatusTooManyRequests)
+	}
+}
+
+// outage is what a fleet goes through: discovery refuses it for a while, then
+// serves at a limited rate.
+type outage struct {
+	relays, told int           // the watches, and how many relays each is told of
+	refuses      time.Duration // for so long
+	rate         float64       // calls a second that are served after it
+	known        bool          // the watches have a list, and ask for what changed since: one call in place of two
+	spread       retrySpread
+}
+
+// outageResult is what it came to.
+type outageResult struct {
+	latest   time.Duration // word after the return
+	late     int           // watches that had none within 6 s
+	before   int           // tries in the worst second while it refused, first calls left out
+	peak     int           // calls in the worst second after its return
+	calls    int
+	away     int // calls turned away
+	finished bool
+}
+
+func (o outage) play(t testing.TB, most time.Duration) outageResult {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	port := bindPort(t)
+	var mu sync.Mutex
+	var tries []time.Time
+	told := make([]time.Time, o.relays)
+	start := time.Now()
+	var all, watches sync.WaitGroup
+	for i := range o.relays {
+		all.Add(1)
+		var once sync.Once
+		w := NewWatch(port.addr, o.told, slog.New(slog.DiscardHandler), func(*List) {
+			once.Do(func() { told[i] = time.Now(); all.Done() })
+		})
+		if o.known {
+			w.Known = &List{Revision: 1, Complete: true, Members: []Member{}}
+		}
+		w.spread = func(serveAll time.Duration, failures int, draw float64) time.Duration {
+			mu.Lock()
+			tries = append(tries, time.Now())
+			mu.Unlock()
+			return o.spread(serveAll, failures, draw)
+		}
+		watches.Add(1)
+		go func() { defer watches.Done(); w.Run(ctx) }()
+	}
+	time.Sleep(o.refuses)
+	mu.Lock()
+	before := slices.Clone(tries)
+	mu.Unlock()
+	d := &limitedDiscovery{rate: o.rate, tokens: max(1, o.rate/10), at: time.Now(), end: ctx}
+	srv := &http.Server{Handler: d}
+	ln := port.listen(t)
+	back := time.Now()
+	go srv.Serve(ln)
+	done := make(chan struct{})
+	go func() { all.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(most):
+	}
+	cancel()
+	srv.Close()
+	watches.Wait()
+	r := outageResult{finished: true, calls: len(d.calls), away: d.away, peak: worstSecond(d.calls)}
+	r.before = worstSecond(slices.DeleteFunc(before, func(at time.Time) bool { return at.Sub(start) < discStart }))
+	for i := range told {
+		if told[i].IsZero() {
+			r.finished = false
+			told[i] = back.Add(most)
+		}
+		after := told[i].Sub(back)
+		r.latest = max(r.latest, after)
+		if after > 6*time.Second {
+			r.late++
+		}
+	}
+	return r
+}
+
+// worstSecond gives the most moments that lie within one second.
+func worstSecond(at []time.Time) (most int) {
+	slices.SortFunc(at, time.Time.Compare)
+	first := 0
+	for i := range at {
+		for at[i].Sub(at[first]) > time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// BenchmarkOutage prints what each spread does, as a table; it takes minutes.
+func BenchmarkOutage(b *testing.B) {
+	fixed := func(most time.Duration) retrySpread {
+		return func(_ time.Duration, failures int, draw float64) time.Duration {
+			low := retryBackoffMin
+			if failures > 0 {
+				low = max(low, most/2)
+			}
+			return low + time.Duration(float64(most-low)*draw)
+		}
+	}
+	spreads := []struct {
+		name   string
+		spread retrySpread
+	}{{"growing", growingSpread}, {"bounded 1.8 s", boundedSpread}, {"bounded 3 s", fixed(3 * time.Second)}, {"0.1 to 0.3 s", narrowSpread}}
+	fmt.Println("| watches | calls each | served a second | spread | latest | later than 6 s | tries a second while refused | calls a second after | turned away of calls |")
+	for _, known := range []bool{true, false} {
+		for _, relays := range []int{30, 300, 450} {
+			for _, rate := range []float64{100, 300} {
+				rows := make([]string, len(spreads))
+				var all sync.WaitGroup
+				for i, s := range spreads {
+					all.Add(1)
+					go func() {
+						defer all.Done()
+						r := outage{relays: relays, told: relays, refuses: 8 * time.Second, rate: rate, known: known, spread: s.spread}.play(b, 32*time.Second)
+						latest := fmt.Sprintf("%.1f s", r.latest.Seconds())
+						if !r.finished {
+							latest = "not within 32 s"
+						}
+						rows[i] = fmt.Sprintf("| %d | %d | %v | %s | %s | %d | %d | %d | %d of %d |", relays, map[bool]int{true: 1, false: 2}[known], rate, s.name,
+							latest, r.late, r.before, r.peak, r.away, r.calls)
+					}()
+				}
+				all.Wait()
+				for _, row := range rows {
+					fmt.Println(row)
+				}
+			}
+		}
+	}
+}
+
+// Guards the 6 s of word after an outage, and discovery against the calls of a
+// whole fleet. Discovery refuses connections for 8 s and then turns away what
+// is beyond 200 calls a second.
+func TestWordAfterOutage(t *testing.T) {
+	for _, relays := range []int{30, 300, 450} {
+		t.Run(fmt.Sprint(relays), func(t *testing.T) {
+			t.Parallel()
+			r := outage{relays: relays, told: relays, refuses: 8 * time.Second, rate: 200, known: true,
+				spread: NewWatch("127.0.0.1:1", relays, slog.New(slog.DiscardHandler), nil).spread}.play(t, 30*time.Second)
+			t.Logf("%+v", r)
+			if r.late > 0 || !r.finished {
+				t.Errorf("%d of %d have word later than 6 s after discovery's return, the last %v after it", r.late, relays, r.latest)
+			}
+			if r.before > relays || r.peak > relays+relays/4 {
+				t.Errorf("%d calls in a second while discovery refuses, %d after that: over one of each relay", r.before, r.peak)
+			}
+		})
+	}
+}
+
+// Guards the same 6 s, and discovery, where calls fail in other ways than by a
+// port that refuses. The watches begin with nothing: two calls each.
+func TestWordAfterFault(t *testing.T) {
+	for _, fault := range []string{"silent", "closed", "reset", "503", "429"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			const relays = 30
+			ctx, cancel := context.WithCancel(t.Context())
+			port := bindPort(t)
+			d := &limitedDiscovery{fault: fault, end: ctx}
+			srv := &http.Server{Handler: d}
+			go srv.Serve(port.listen(t))
+			var watches sync.WaitGroup
+			told := make(chan time.Time, relays)
+			for range relays {
+				var once sync.Once
+				w := NewWatch(port.addr, 450, slog.New(slog.DiscardHandler), func(*List) { once.Do(func() { told <- time.Now() }) })
+				watches.Add(1)
+				go func() { defer watches.Done(); w.Run(ctx) }()
+			}
+			defer func() { cancel(); srv.Close(); watches.Wait() }()
+			time.Sleep(6 * time.Second)
+			d.mu.Lock()
+			d.fault = ""
+			back, calls := time.Now(), slices.Clone(d.calls)
+			d.mu.Unlock()
+			latest := time.Duration(0)
+			for range relays {
+				select {
+				case at := <-told:
+					latest = max(latest, at.Sub(back))
+				case <-time.After(20 * time.Second):
+					t.Fatal("a watch never had its list")
+				}
+			}
+			begun := calls[0]
+			peak := worstSecond(slices.DeleteFunc(calls, func(at time.Time) bool { return at.Sub(begun) < 2*time.Second }))
+			t.Logf("the last word %v after the return, %d calls in the worst second before it", latest, peak)
+			if latest > 6*time.Second {
+				t.Errorf("the last word came %v after the return", latest)
+			}
+			if peak > relays+relays/4 {
+				t.Errorf("%d calls in a second of %d relays", peak, relays)
+			}
+		})
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -27,14 +26,11 @@
 	discSilence = 3500 * time.Millisecond // a watch says something every 2 s
 	discAnswer  = time.Second             // the agent answers at once, or is down
 	discPause   = 200 * time.Millisecond  // before the next try
-	discAway    = 400 * time.Millisecond  // the same after one that was turned away; doubles with each in a row
-	discMost    = 5 * time.Second
-	discTurn    = 100 * time.Millisecond // for each relay of the fleet: all may come at one moment, and are served in turn
-	discStart   = time.Second            // within which a start asks: what drains must be left 2 s after its agent has word of it
-	discTold    = 4 * time.Second        // within which a second try comes: after a move word counts as heard by then
-	discQueue   = 2 * time.Second        // that an answer is waited for longer, however large the fleet
-	discRest    = 100 * time.Millisecond // for the rest of a list that goes on after its line: it is written at once
-	listMost    = 4 << 20                // bytes of a list or a line
+	discTurn    = 100 * time.Millisecond  // for each relay of the fleet: all may come at one moment, and are served in turn
+	discStart   = time.Second             // within which a start asks: what drains must be left 2 s after its agent has word of it
+	discQueue   = 2 * time.Second         // that an answer is waited for longer, however large the fleet
+	discRest    = 100 * time.Millisecond  // for the rest of a list that goes on after its line: it is written at once
+	listMost    = 4 << 20                 // bytes of a list or a line
 )
 
 // newPlainClient makes a client for the agent on this machine: few kept
@@ -102,7 +98,9 @@
 	random  func() float64
 	all     time.Duration // what discovery takes to serve every relay of the fleet
 	Known   *List         // what the first watch goes on from; nil for nothing
-	away    int           // tries turned away in a row
+	spread  retrySpread
+	failed  int  // tries in a row that were refused, or cut short after the first
+	ended   bool // one was cut short, and another came soon after it
 }
 
 // NewWatch makes the watch of one relay of so many. Where many ask at once
@@ -112,7 +110,7 @@
 	all := time.Duration(relays) * discTurn
 	answer := discAnswer + min(all/4, discQueue)
 	return &Watch{agent: agent{addr: addr}, log: log, client: newPlainClient(4, answer), answer: answer,
-		silence: discSilence, news: news, random: rand.Float64, all: all}
+		silence: discSilence, news: news, random: rand.Float64, all: all, spread: boundedSpread}
 }
 
 // Run watches until ctx ends. What is heard is passed on with no delay: the
@@ -146,21 +144,18 @@
 		if turn.Err() == nil {
 			pause := d.pause(err)
 			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "pause_ms", pause.Milliseconds(), "err", err)
-			if d.away > 0 && d.Refused != nil {
+			if refused(err) && d.Refused != nil {
 				d.Refused()
 			}
 			sleep(turn, pause)
 		}
 		if turn.Err() != nil {
-			d.away = 0 // it has moved: what turned calls away is left
+			d.recovered() // it has moved: what turned calls away is left
 		}
 		cancel()
 	}
 }
 
-// errAway is a status by which discovery turns a call away.
-var errAway = errors.New("turned away")
-
 // first is how long a start puts off its first call. The whole fleet may be
 // starting, but whatever the agent has by now counts as told to this relay,
 // and the known list may be old.
@@ -168,29 +163,6 @@
 	return time.Duration(float64(min(d.all/2, discStart)) * d.random())
 }
 
-// pause is how long to wait before the next try. Discovery that turns calls
-// away has too many: those of a whole fleet, which lost it at one moment. What
-// they send together has to stay under what it serves, or its queue never
-// empties: the spread of the tries grows with the fleet, and with each in a row.
-// The first spread leaves time for word of a drain; the next make up for it.
-func (d *Watch) pause(err error) time.Duration {
-	away := errors.Is(err, errAway) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-	if !away { // silent: the agent alone is asked, and a watch puts an end to the run
-		return time.Duration(float64(discPause) * (0.5 + d.random()))
-	}
-	base := min(min(discAway+d.all, discTold)<<min(d.away, 8), discMost+2*d.all)
-	d.away++
-	return discAway/2 + time.Duration(float64(base)*d.random())
-}
-
-// statusError tells of an answer other than 200.
-func statusError(what string, code int) error {
-	if code == http.StatusTooManyRequests || code >= http.StatusInternalServerError {
-		return fmt.Errorf("discovery: %s: status %d: %w", what, code, errAway)
-	}
-	return fmt.Errorf("discovery: %s: status %d", what, code)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -233,7 +205,7 @@
 func (d *Watch) watch(ctx context.Context, addr string, from int64) (rev int64, whole bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	quiet := time.AfterFunc(max(d.silence, d.answer), func() { cancel(errors.New("silent")) })
+	quiet := time.AfterFunc(max(d.silence, d.answer), func() { cancel(errSilent) })
 	defer quiet.Stop()
 	url := "http://" + addr + ListPath + "?watch=1&from=" + strconv.FormatInt(from, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -242,6 +214,9 @@
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
 		return from, true, fmt.Errorf("discovery: %w", err)
 	}
 	defer resp.Body.Close()
@@ -249,7 +224,6 @@
 		err := statusError("watch", resp.StatusCode)
 		return from, errors.Is(err, errAway), err // turned away, it says nothing about the list
 	}
-	d.away = 0
 	quiet.Reset(d.silence)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), listMost)
@@ -259,6 +233,7 @@
 		text = append(text, lines.Bytes()...)
 		if len(bytes.TrimSpace(text)) == 0 {
 			text = text[:0]
+			d.recovered()
 			continue
 		}
 		l, err := Parse(text)
@@ -273,6 +248,7 @@
 			return rev, false, err
 		}
 		text, rev = text[:0], l.Revision
+		d.recovered()
 		d.news(l)
 	}
 	if err = lines.Err(); errors.Is(err, bufio.ErrTooLong) {
