--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -14,6 +14,11 @@
 	retryBackoffBase = 400 * time.Millisecond  // spread of the first try after a refused one, beside what the fleet adds
 	retryBackoffMin  = 200 * time.Millisecond  // no refused try is made again sooner
 	retryBackoffMax  = 1800 * time.Millisecond // nor later, however many were refused in a row and however large the fleet
+
+	// A list that is too large stays so until somebody has seen to it, and each
+	// costs discovery and the network what a whole list does.
+	tooLargeBackoffBase = time.Second
+	tooLargeBackoffMax  = 30 * time.Second
 )
 
 // errAway is a status by which discovery turns a call away.
@@ -72,6 +77,12 @@
 // brought anything, discovery is in trouble, and the tries are spread as those
 // that it refuses.
 func (d *Watch) pause(err error) time.Duration {
+	var tooLarge *ListTooLargeError
+	if errors.As(err, &tooLarge) {
+		most := min(tooLargeBackoffBase<<min(d.tooLarge, 8), tooLargeBackoffMax)
+		d.tooLarge++
+		return most/2 + time.Duration(float64(most/2)*d.random())
+	}
 	if silent(err) {
 		return d.soon()
 	}
@@ -88,4 +99,4 @@
 }
 
 // recovered ends a run of failures: a watch brought something.
-func (d *Watch) recovered() { d.failed, d.ended = 0, false }
+func (d *Watch) recovered() { d.failed, d.ended, d.tooLarge = 0, false, 0 }
--- a/internal/discovery/internal_test.go
+++ b/internal/discovery/internal_test.go
@@ -49,6 +49,23 @@
 	}
 }
 
+// A list that is too large is asked for again with an exponential backoff, and
+// jitter, up to half a minute.
+func TestPauseTooLarge(t *testing.T) {
+	x := NewWatch("127.0.0.1:1", 300, slog.New(slog.DiscardHandler), nil)
+	tooLarge := fmt.Errorf("discovery: %w", &ListTooLargeError{Size: 2, Max: 1})
+	for round := range 2 {
+		for i := range 12 {
+			most := min(time.Second<<i, 30*time.Second)
+			x.random = func() float64 { return float64(i % 2) }
+			if p := x.pause(tooLarge); p < most/2 || p > most || i%2 == 1 && p != most {
+				t.Errorf("round %d: pause %d is %v", round, i, p)
+			}
+		}
+		x.recovered()
+	}
+}
+
 // A watch that ended is opened anew at once, once; where that ends too, tries
 // are spread like refused ones. One that hung has taken its time already.
 func TestPauseAfterEnd(t *testing.T) {
@@ -115,5 +132,8 @@
 	}
 }
 
+// LimitLists sets how large a list, or a line of a watch, may be.
+func (d *Watch) LimitLists(bytes int) { d.maxList = bytes }
+
 // NoticeAgain is by when the second try of a notice comes.
 const NoticeAgain = noticeWait + noticePause
--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -33,6 +33,8 @@
 	noticePause = 50 * time.Millisecond  // grows with each failure in a row
 	noticeMost  = 500 * time.Millisecond
 	noticeLong  = 2 * time.Second
+
+	noticeAnswerBytes = 64 << 10 // of an answer that are read, so that its connection can carry the next call
 )
 
 // Notices sends notices until each has been taken. Repeats are harmless.
@@ -122,7 +124,7 @@
 		return 0, fmt.Errorf("notices: %w", err)
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(resp.Body, listMost))
+	io.Copy(io.Discard, io.LimitReader(resp.Body, noticeAnswerBytes))
 	if resp.StatusCode != http.StatusNoContent {
 		return resp.StatusCode, fmt.Errorf("notices: status %d", resp.StatusCode)
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,12 +1,9 @@
 package discovery
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -89,18 +86,20 @@
 // Watch keeps a watch on the list and hands on its news.
 type Watch struct {
 	agent
-	log     *slog.Logger
-	client  *http.Client
-	answer  time.Duration // a call unanswered for so long has failed
-	silence time.Duration
-	news    func(*List) // called in order
-	Refused func()      // called where a try was turned away or the first is put off; may be nil
-	random  func() float64
-	all     time.Duration // what discovery takes to serve every relay of the fleet
-	Known   *List         // what the first watch goes on from; nil for nothing
-	spread  retrySpread
-	failed  int  // tries in a row that were refused, or cut short after the first
-	ended   bool // one was cut short, and another came soon after it
+	log      *slog.Logger
+	client   *http.Client
+	answer   time.Duration // a call unanswered for so long has failed
+	silence  time.Duration
+	news     func(*List) // called in order
+	Refused  func()      // called where a try was turned away or the first is put off; may be nil
+	random   func() float64
+	all      time.Duration // what discovery takes to serve every relay of the fleet
+	Known    *List         // what the first watch goes on from; nil for nothing
+	spread   retrySpread
+	failed   int  // tries in a row that were refused, or cut short after the first
+	ended    bool // one was cut short, and another came soon after it
+	tooLarge int  // lists in a row that were larger than maxList
+	maxList  int  // bytes of a list or a line of a watch
 }
 
 // NewWatch makes the watch of one relay of so many. Where many ask at once
@@ -110,7 +109,7 @@
 	all := time.Duration(relays) * discTurn
 	answer := discAnswer + min(all/4, discQueue)
 	return &Watch{agent: agent{addr: addr}, log: log, client: newPlainClient(4, answer), answer: answer,
-		silence: discSilence, news: news, random: rand.Float64, all: all, spread: boundedSpread}
+		silence: discSilence, news: news, random: rand.Float64, all: all, spread: boundedSpread, maxList: maxListBytes}
 }
 
 // Run watches until ctx ends. What is heard is passed on with no delay: the
@@ -188,7 +187,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, statusError("list", resp.StatusCode)
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, listMost))
+	text, err := readList(resp, d.maxList)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
@@ -225,43 +224,28 @@
 		return from, errors.Is(err, errAway), err // turned away, it says nothing about the list
 	}
 	quiet.Reset(d.silence)
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 4096), listMost)
-	var text []byte // of a list that may go on in the next line: they come indented, too
-	for rev = from; lines.Scan(); {
+	in := newListReader(resp.Body, d.maxList)
+	in.heard = func(open bool) { // the rest of a list that goes on in the next line is written at once
 		quiet.Reset(d.silence)
-		text = append(text, lines.Bytes()...)
-		if len(bytes.TrimSpace(text)) == 0 {
-			text = text[:0]
-			d.recovered()
-			continue
-		}
-		l, err := Parse(text)
-		if errors.Is(err, io.ErrUnexpectedEOF) && len(text) < listMost {
+		if open {
 			quiet.Reset(discRest)
-			continue
 		}
-		if err == nil && !l.Complete && l.Revision < rev {
+	}
+	for rev = from; ; {
+		l, err := in.next()
+		if l != nil && !l.Complete && l.Revision < rev {
 			err = fmt.Errorf("discovery: a change back from revision %d to %d", rev, l.Revision)
 		}
 		if err != nil {
-			return rev, false, err
+			if cause := context.Cause(ctx); cause != nil && in.ended {
+				err = cause
+			}
+			return rev, in.ended, fmt.Errorf("discovery: watch: %w", err)
 		}
-		text, rev = text[:0], l.Revision
 		d.recovered()
-		d.news(l)
-	}
-	if err = lines.Err(); errors.Is(err, bufio.ErrTooLong) {
-		return rev, false, fmt.Errorf("discovery: %w", err)
-	}
-	if len(text) > 0 {
-		return rev, false, errors.New("discovery: a line was cut")
-	}
-	if err == nil {
-		err = io.EOF
-	}
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
+		if l != nil {
+			rev = l.Revision
+			d.news(l)
+		}
 	}
-	return rev, true, fmt.Errorf("discovery: %w", err)
 }
