--- a/internal/discovery/listsize_test.go
+++ b/internal/discovery/listsize_test.go
@@ -31,6 +31,7 @@
 // A list of 31,000 members with ids of 34 letters arrives, when it is asked
 // for and as a line of the watch, on one line and indented.
 func TestListOfTargetSize(t *testing.T) {
+	t.Parallel()
 	const count = 31000
 	d := discoverytest.New(t, longNames(count)...)
 	news := watchList(t, d, time.Minute)
@@ -120,6 +121,7 @@
 // A list that is too large is told with both sizes and asked for again less and
 // less often; the last good one stays in use, and the next good one follows.
 func TestListTooLarge(t *testing.T) {
+	t.Parallel()
 	for _, tellLen := range []bool{true, false} {
 		t.Run(fmt.Sprintf("length_told=%v", tellLen), func(t *testing.T) {
 			t.Parallel()
--- a/internal/discovery/outage_test.go
+++ b/internal/discovery/outage_test.go
@@ -298,6 +298,7 @@
 // whole fleet. Discovery refuses connections for 8 s and then turns away what
 // is beyond 200 calls a second.
 func TestWordAfterOutage(t *testing.T) {
+	t.Parallel()
 	for _, relays := range []int{30, 300, 450} {
 		t.Run(fmt.Sprint(relays), func(t *testing.T) {
 			t.Parallel()
@@ -317,6 +318,7 @@
 // Guards the same 6 s, and discovery, where calls fail in other ways than by a
 // port that refuses. The watches begin with nothing: two calls each.
 func TestWordAfterFault(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []string{"silent", "closed", "reset", "503", "429"} {
 		t.Run(fault, func(t *testing.T) {
 			t.Parallel()
