--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -27,7 +27,6 @@
 	discStart   = time.Second             // within which a start asks: what drains must be left 2 s after its agent has word of it
 	discQueue   = 2 * time.Second         // that an answer is waited for longer, however large the fleet
 	discRest    = 100 * time.Millisecond  // for the rest of a list that goes on after its line: it is written at once
-	listMost    = 4 << 20                 // bytes of a list or a line
 )
 
 // newPlainClient makes a client for the agent on this machine: few kept
