Give the parts of internal/discovery the usual names

Reason: names such as discAway, discTurn, agent and turn had to be learnt first.

Change: names only. Timeouts, delays and backoffs say so (baseAnswerTimeout, reconnectDelay, maxStartDelay, noticeBackoffMin), the address that may move is movableAddress with beginCall, and the watch has startDelay, retryDelay, fetchList and followChanges. The exported names stay.

Checked: the package's tests, vet over all packages.

--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -21,40 +21,40 @@
 	tooLargeBackoffMax  = 30 * time.Second
 )
 
-// errAway is a status by which discovery turns a call away.
-var errAway = errors.New("turned away")
+// errTurnedAway is a status by which discovery turns a call away.
+var errTurnedAway = errors.New("turned away")
 
 // statusError tells of an answer other than 200.
 func statusError(what string, code int) error {
 	if code == http.StatusTooManyRequests || code >= http.StatusInternalServerError {
-		return fmt.Errorf("discovery: %s: status %d: %w", what, code, errAway)
+		return fmt.Errorf("discovery: %s: status %d: %w", what, code, errTurnedAway)
 	}
 	return fmt.Errorf("discovery: %s: status %d", what, code)
 }
 
-// refused reports whether discovery turned a try away: it has too many, or is
+// isRefusal reports whether discovery turned a try away: it has too many, or is
 // not there.
-func refused(err error) bool {
-	return errors.Is(err, errAway) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+func isRefusal(err error) bool {
+	return errors.Is(err, errTurnedAway) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// silent reports whether a try ended by a time limit, or never left this
+// limitsItself reports whether a try ended by a time limit, or never left this
 // machine. Neither can become many calls a second: the first has taken a
 // second at least, and the other reaches nobody.
-func silent(err error) bool {
-	var op *net.OpError
+func limitsItself(err error) bool {
+	var opError *net.OpError
 	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, errSilent) || errors.Is(err, context.DeadlineExceeded) ||
-		errors.As(err, &op) && op.Op == "dial" && !refused(err)
+	return errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, errWatchSilent) || errors.Is(err, context.DeadlineExceeded) ||
+		errors.As(err, &opError) && opError.Op == "dial" && !isRefusal(err)
 }
 
-// errSilent ends a watch on which nothing came for too long.
-var errSilent = errors.New("silent")
+// errWatchSilent ends a watch on which nothing came for too long.
+var errWatchSilent = errors.New("silent")
 
-// retrySpread gives the time from a refused try to the next one. serveAll is
+// retrySpread gives the time from a refused try to the next one. fleetServeTime is
 // what discovery takes to serve the whole fleet, failures is how many tries in
 // a row were refused before this one, and draw is evenly distributed over 0 to 1.
-type retrySpread func(serveAll time.Duration, failures int, draw float64) time.Duration
+type retrySpread func(fleetServeTime time.Duration, failures int, draw float64) time.Duration
 
 // boundedSpread keeps two promises. A change has to be known 6 s after
 // discovery can be reached again, so the time to the next try never exceeds
@@ -63,8 +63,8 @@
 // that lost discovery at one moment must not come together: the first are drawn
 // over the whole range, and as they are spread by then, the next only over its
 // upper half, which makes fewer of them.
-func boundedSpread(serveAll time.Duration, failures int, draw float64) time.Duration {
-	high := min(min(retryBackoffBase+serveAll, retryBackoffMax)<<min(failures, 8), retryBackoffMax)
+func boundedSpread(fleetServeTime time.Duration, failures int, draw float64) time.Duration {
+	high := min(min(retryBackoffBase+fleetServeTime, retryBackoffMax)<<min(failures, 8), retryBackoffMax)
 	low := retryBackoffMin
 	if failures > 0 {
 		low = max(low, high/2)
@@ -72,31 +72,31 @@
 	return low + time.Duration(float64(high-low)*draw)
 }
 
-// pause is how long to wait before the next try. A watch that ended is opened
+// retryDelay is how long to wait before the next try. A watch that ended is opened
 // anew soon, for the sake of word of a drain. Where that ends too, before it
 // brought anything, discovery is in trouble, and the tries are spread as those
 // that it refuses.
-func (d *Watch) pause(err error) time.Duration {
+func (w *Watch) retryDelay(err error) time.Duration {
 	var tooLarge *ListTooLargeError
 	if errors.As(err, &tooLarge) {
-		most := min(tooLargeBackoffBase<<min(d.tooLarge, 8), tooLargeBackoffMax)
-		d.tooLarge++
-		return most/2 + time.Duration(float64(most/2)*d.random())
+		longest := min(tooLargeBackoffBase<<min(w.oversized, 8), tooLargeBackoffMax)
+		w.oversized++
+		return longest/2 + time.Duration(float64(longest/2)*w.random())
 	}
-	if silent(err) {
-		return d.soon()
+	if limitsItself(err) {
+		return w.shortDelay()
 	}
-	if !refused(err) && !d.ended {
-		d.ended = true
-		return d.soon()
+	if !isRefusal(err) && !w.reconnected {
+		w.reconnected = true
+		return w.shortDelay()
 	}
-	d.failed++
-	return d.spread(d.all, d.failed-1, d.random())
+	w.failures++
+	return w.spread(w.fleetServeTime, w.failures-1, w.random())
 }
 
-func (d *Watch) soon() time.Duration {
-	return time.Duration(float64(discPause) * (0.5 + d.random()))
+func (w *Watch) shortDelay() time.Duration {
+	return time.Duration(float64(reconnectDelay) * (0.5 + w.random()))
 }
 
 // recovered ends a run of failures: a watch brought something.
-func (d *Watch) recovered() { d.failed, d.ended, d.tooLarge = 0, false, 0 }
+func (w *Watch) recovered() { w.failures, w.reconnected, w.oversized = 0, false, 0 }
--- a/internal/discovery/internal_test.go
+++ b/internal/discovery/internal_test.go
@@ -25,7 +25,7 @@
 			soonest.random = func() float64 { return 0 }
 			last := time.Duration(0)
 			for i := range 100 {
-				low, high := soonest.pause(refusal), latest.pause(refusal)
+				low, high := soonest.retryDelay(refusal), latest.retryDelay(refusal)
 				if low < retryBackoffMin || high > retryBackoffMax || high < last {
 					t.Errorf("%v, %d relays: pause %d is %v to %v, %v at most before", refusal, relays, i, low, high, last)
 				}
@@ -41,8 +41,8 @@
 				t.Errorf("%d relays: pauses grow to %v alone", relays, last)
 			}
 			// What the answer of a call, or a silent watch, may take is spent before it is known to have failed.
-			hung := max(latest.silence, latest.answer)
-			if left := 6*time.Second - hung - latest.pause(context.DeadlineExceeded) - retryBackoffMax; left < 300*time.Millisecond {
+			hung := max(latest.silenceTimeout, latest.answerTimeout)
+			if left := 6*time.Second - hung - latest.retryDelay(context.DeadlineExceeded) - retryBackoffMax; left < 300*time.Millisecond {
 				t.Errorf("%d relays: a call that hung, and another that is refused, leave %v", relays, left)
 			}
 		}
@@ -58,7 +58,7 @@
 		for i := range 12 {
 			most := min(time.Second<<i, 30*time.Second)
 			x.random = func() float64 { return float64(i % 2) }
-			if p := x.pause(tooLarge); p < most/2 || p > most || i%2 == 1 && p != most {
+			if p := x.retryDelay(tooLarge); p < most/2 || p > most || i%2 == 1 && p != most {
 				t.Errorf("round %d: pause %d is %v", round, i, p)
 			}
 		}
@@ -72,18 +72,18 @@
 	x := NewWatch("127.0.0.1:1", 300, slog.New(slog.DiscardHandler), nil)
 	x.random = func() float64 { return 1 }
 	for range 2 {
-		if p := x.pause(io.EOF); p > 2*discPause {
+		if p := x.retryDelay(io.EOF); p > 2*reconnectDelay {
 			t.Errorf("a watch that ended is opened anew after %v", p)
 		}
 		for range 3 {
-			if p := x.pause(io.EOF); p != retryBackoffMax {
+			if p := x.retryDelay(io.EOF); p != retryBackoffMax {
 				t.Errorf("watches that end at once are opened anew after %v at most", p)
 			}
 		}
 		x.recovered()
 	}
 	for range 3 {
-		if p := x.pause(fmt.Errorf("discovery: %w", errSilent)); p > 2*discPause {
+		if p := x.retryDelay(fmt.Errorf("discovery: %w", errWatchSilent)); p > 2*reconnectDelay {
 			t.Errorf("a watch that fell silent is opened anew after %v", p)
 		}
 	}
@@ -92,11 +92,11 @@
 // Guards discovery's queue: a relay of a large fleet waits for those before it
 // in place of hanging up and asking again.
 func TestDiscoveryWaitsItsTurn(t *testing.T) {
-	if few := NewWatch("127.0.0.1:1", 2, slog.New(slog.DiscardHandler), nil); few.answer > 2*discAnswer {
-		t.Errorf("2 relays wait %v for an answer", few.answer)
+	if few := NewWatch("127.0.0.1:1", 2, slog.New(slog.DiscardHandler), nil); few.answerTimeout > 2*baseAnswerTimeout {
+		t.Errorf("2 relays wait %v for an answer", few.answerTimeout)
 	}
-	if many := NewWatch("127.0.0.1:1", 80, slog.New(slog.DiscardHandler), nil); many.answer < 2*discAnswer {
-		t.Errorf("80 relays wait %v for an answer", many.answer)
+	if many := NewWatch("127.0.0.1:1", 80, slog.New(slog.DiscardHandler), nil); many.answerTimeout < 2*baseAnswerTimeout {
+		t.Errorf("80 relays wait %v for an answer", many.answerTimeout)
 	}
 }
 
@@ -108,13 +108,13 @@
 	for _, relays := range []int{2, 80, 300, 3000} {
 		x := NewWatch("127.0.0.1:1", relays, slog.New(slog.DiscardHandler), nil)
 		x.random = func() float64 { return 1 }
-		if first := x.first(); first >= grace {
+		if first := x.startDelay(); first >= grace {
 			t.Errorf("%d relays: the first call comes after %v", relays, first)
 		}
-		if x.answer >= told-grace {
-			t.Errorf("%d relays: an answer is waited for %v", relays, x.answer)
+		if x.answerTimeout >= told-grace {
+			t.Errorf("%d relays: an answer is waited for %v", relays, x.answerTimeout)
 		}
-		if p := x.pause(errAway); p >= told-grace/2 {
+		if p := x.retryDelay(errTurnedAway); p >= told-grace/2 {
 			t.Errorf("%d relays: the first pause is %v", relays, p)
 		}
 	}
@@ -122,18 +122,18 @@
 
 // Tune sets what only tests change: a silence after which a watch is given up,
 // what it takes to serve all relays, and the draws. Zero values leave them.
-func (d *Watch) Tune(silence, all time.Duration, random func() float64) {
+func (w *Watch) Tune(silence, all time.Duration, random func() float64) {
 	if silence > 0 {
-		d.silence = silence
+		w.silenceTimeout = silence
 	}
-	d.all = all
+	w.fleetServeTime = all
 	if random != nil {
-		d.random = random
+		w.random = random
 	}
 }
 
 // LimitLists sets how large a list, or a line of a watch, may be.
-func (d *Watch) LimitLists(bytes int) { d.maxList = bytes }
+func (w *Watch) LimitLists(bytes int) { w.listLimit = bytes }
 
 // NoticeAgain is by when the second try of a notice comes.
-const NoticeAgain = noticeWait + noticePause
+const NoticeAgain = noticeTimeoutMin + noticeBackoffMin
--- a/internal/discovery/listreader.go
+++ b/internal/discovery/listreader.go
@@ -13,11 +13,11 @@
 	// maxListBytes bounds a list, and a line of a watch. The largest fleet that
 	// is planned for has 31,000 members, 4.9 MB with long names.
 	maxListBytes = 32 << 20
-	// keptLineBytes is how much of the memory for a line is kept for the next.
-	keptLineBytes = 64 << 10
-	// firstParseBytes is the size at which a list that goes on over several
+	// maxKeptBufferBytes is how much of the memory for a line is kept for the next.
+	maxKeptBufferBytes = 64 << 10
+	// minPartialParseBytes is the size at which a list that goes on over several
 	// lines is tried first; later tries come at twice the size of the last.
-	firstParseBytes = 4 << 10
+	minPartialParseBytes = 4 << 10
 )
 
 // ListTooLargeError is a list, or a line of a watch, over the limit. Nothing
@@ -52,62 +52,62 @@
 // listReader reads the lists of a watch, one after another. Each ends with the
 // end of a line, and may be indented over several.
 type listReader struct {
-	in       *bufio.Reader
-	maxBytes int
-	heard    func(open bool) // called for all that comes; open is a list that is not at its end
-	text     []byte          // of the list that is being read
-	depth    int             // of braces and brackets that are open in text
-	inString bool
-	escaped  bool // the last byte was a backslash in a string
-	tried    int  // bytes of text when it was last parsed
-	ended    bool // the stream is over, with no list cut
+	in          *bufio.Reader
+	maxBytes    int
+	onBytes     func(partial bool) // called for all that comes; partial is a list that is not at its end
+	buffer      []byte             // of the list that is being read
+	depth       int                // of braces and brackets that are open in buffer
+	inString    bool
+	escaped     bool // the last byte was a backslash in a string
+	parsedBytes int  // bytes of buffer when it was last parsed
+	ended       bool // the stream is over, with no list cut
 }
 
 func newListReader(r io.Reader, maxBytes int) *listReader {
-	return &listReader{in: bufio.NewReader(r), maxBytes: maxBytes, heard: func(bool) {}}
+	return &listReader{in: bufio.NewReader(r), maxBytes: maxBytes, onBytes: func(bool) {}}
 }
 
-// errCut is a stream that ends within a list.
-var errCut = errors.New("a line was cut")
+// errListCut is a stream that ends within a list.
+var errListCut = errors.New("a line was cut")
 
 // next gives the next list, or nil for an empty line, by which discovery says
 // that nothing has changed.
 func (r *listReader) next() (*List, error) {
 	for {
 		piece, end := r.in.ReadSlice('\n')
-		if err := r.add(piece); err != nil {
+		if err := r.appendPiece(piece); err != nil {
 			return nil, err
 		}
 		if errors.Is(end, bufio.ErrBufferFull) {
-			r.heard(false)
+			r.onBytes(false)
 			continue
 		}
-		if end != nil && len(bytes.TrimSpace(r.text)) == 0 {
+		if end != nil && len(bytes.TrimSpace(r.buffer)) == 0 {
 			r.ended = true
 			return nil, end
 		}
-		l, err := r.line()
+		l, err := r.parseBuffered()
 		if end != nil && (err != nil || l == nil) {
-			return nil, errCut
+			return nil, errListCut
 		}
 		if err != nil {
 			return nil, err
 		}
-		open := len(r.text) > 0
-		r.heard(open)
-		if !open {
+		partial := len(r.buffer) > 0
+		r.onBytes(partial)
+		if !partial {
 			return l, nil
 		}
 	}
 }
 
-// add takes in a piece of a line.
-func (r *listReader) add(piece []byte) error {
-	if size := len(r.text) + len(piece); size > r.maxBytes {
-		r.drop()
+// appendPiece takes in a piece of a line.
+func (r *listReader) appendPiece(piece []byte) error {
+	if size := len(r.buffer) + len(piece); size > r.maxBytes {
+		r.reset()
 		return &ListTooLargeError{Size: int64(size), Max: int64(r.maxBytes)}
 	}
-	r.text = append(r.text, piece...)
+	r.buffer = append(r.buffer, piece...)
 	for _, c := range piece {
 		switch {
 		case r.escaped:
@@ -125,30 +125,30 @@
 	return nil
 }
 
-// line looks at the text at the end of a line. It gives a list that is at its
-// end, and nothing for one that is not. A long one is not parsed anew with each
+// parseBuffered looks at the buffer at the end of a line. It gives a list that
+// is at its end, and nothing for one that is not. A long one is not parsed anew with each
 // line, but soon enough for what cannot become a list to be noticed.
-func (r *listReader) line() (*List, error) {
-	if len(bytes.TrimSpace(r.text)) == 0 {
-		r.drop()
+func (r *listReader) parseBuffered() (*List, error) {
+	if len(bytes.TrimSpace(r.buffer)) == 0 {
+		r.reset()
 		return nil, nil
 	}
-	if r.depth > 0 && len(r.text) < max(firstParseBytes, 2*r.tried) {
+	if r.depth > 0 && len(r.buffer) < max(minPartialParseBytes, 2*r.parsedBytes) {
 		return nil, nil
 	}
-	r.tried = len(r.text)
-	l, err := Parse(r.text)
+	r.parsedBytes = len(r.buffer)
+	l, err := Parse(r.buffer)
 	if errors.Is(err, io.ErrUnexpectedEOF) {
 		return nil, nil
 	}
-	r.drop()
+	r.reset()
 	return l, err
 }
 
-// drop forgets the text, and gives its memory back where it was a lot.
-func (r *listReader) drop() {
-	r.text, r.depth, r.inString, r.escaped, r.tried = r.text[:0], 0, false, false, 0
-	if cap(r.text) > keptLineBytes {
-		r.text = nil
+// reset forgets the buffer, and gives its memory back where it was a lot.
+func (r *listReader) reset() {
+	r.buffer, r.depth, r.inString, r.escaped, r.parsedBytes = r.buffer[:0], 0, false, false, 0
+	if cap(r.buffer) > maxKeptBufferBytes {
+		r.buffer = nil
 	}
 }
--- a/internal/discovery/listreader_test.go
+++ b/internal/discovery/listreader_test.go
@@ -110,10 +110,10 @@
 	if l, err := r.next(); l != nil || err != nil {
 		t.Fatalf("an empty line is %v, %v", l, err)
 	}
-	if cap(r.text) > keptLineBytes {
-		t.Errorf("%d bytes are kept for the next line", cap(r.text))
+	if cap(r.buffer) > maxKeptBufferBytes {
+		t.Errorf("%d bytes are kept for the next line", cap(r.buffer))
 	}
-	if _, err := r.next(); !errors.Is(err, errCut) || r.ended {
+	if _, err := r.next(); !errors.Is(err, errListCut) || r.ended {
 		t.Errorf("a list that was cut is %v", err)
 	}
 	for _, indented := range []bool{false, true} {
@@ -128,8 +128,8 @@
 		if !errors.As(err, &tooLarge) || tooLarge.Max != int64(len(text)-1) || tooLarge.Size <= tooLarge.Max {
 			t.Errorf("a list over the limit: %v", err)
 		}
-		if cap(over.text) > keptLineBytes {
-			t.Errorf("%d bytes are kept of a list that is too large", cap(over.text))
+		if cap(over.buffer) > maxKeptBufferBytes {
+			t.Errorf("%d bytes are kept of a list that is too large", cap(over.buffer))
 		}
 	}
 }
--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -28,85 +28,85 @@
 }
 
 const (
-	noticeBatch = 64
-	noticeWait  = 200 * time.Millisecond // doubles with each failure in a row: a second try is still in time
-	noticePause = 50 * time.Millisecond  // grows with each failure in a row
-	noticeMost  = 500 * time.Millisecond
-	noticeLong  = 2 * time.Second
+	noticeBatchSize  = 64
+	noticeTimeoutMin = 200 * time.Millisecond // doubles with each failure in a row: a second try is still in time
+	noticeBackoffMin = 50 * time.Millisecond  // grows with each failure in a row
+	noticeBackoffMax = 500 * time.Millisecond
+	noticeTimeoutMax = 2 * time.Second
 
-	noticeAnswerBytes = 64 << 10 // of an answer that are read, so that its connection can carry the next call
+	maxNoticeAnswerBytes = 64 << 10 // of an answer that are read, so that its connection can carry the next call
 )
 
 // Notices sends notices until each has been taken. Repeats are harmless.
 type Notices struct {
-	agent
-	log    *slog.Logger
-	client *http.Client
-	in     *mailbox.Mailbox[Notice]
-	taken  func(id string)
+	movableAddress
+	log     *slog.Logger
+	client  *http.Client
+	queue   *mailbox.Mailbox[Notice]
+	onTaken func(id string)
 }
 
-// NewNotices makes the sender of one relay; taken hears of each that was taken.
-func NewNotices(addr string, log *slog.Logger, taken func(string)) *Notices {
-	return &Notices{agent: agent{addr: addr}, log: log, client: newPlainClient(2, discAnswer),
-		in: mailbox.New[Notice](), taken: taken}
+// NewNotices makes the sender of one relay; onTaken hears of each that was taken.
+func NewNotices(addr string, log *slog.Logger, onTaken func(string)) *Notices {
+	return &Notices{movableAddress: movableAddress{addr: addr}, log: log, client: newHTTPClient(2, baseAnswerTimeout),
+		queue: mailbox.New[Notice](), onTaken: onTaken}
 }
 
 // Put has a notice sent.
-func (n *Notices) Put(x Notice) { n.in.Put(x) }
+func (n *Notices) Put(x Notice) { n.queue.Put(x) }
 
 // Run sends until ctx ends.
 func (n *Notices) Run(ctx context.Context) {
 	defer n.client.CloseIdleConnections()
-	var fresh, left []Notice
-	for pause, wait := noticePause, noticeWait; ctx.Err() == nil; {
-		fresh = n.in.TakeAll(fresh)
-		left = append(left, fresh...)
-		if len(left) == 0 {
+	var fresh, pending []Notice
+	for backoff, timeout := noticeBackoffMin, noticeTimeoutMin; ctx.Err() == nil; {
+		fresh = n.queue.TakeAll(fresh)
+		pending = append(pending, fresh...)
+		if len(pending) == 0 {
 			select {
 			case <-ctx.Done():
-			case <-n.in.Ready():
+			case <-n.queue.Ready():
 			}
 			continue
 		}
-		batch := left[:min(len(left), noticeBatch)]
-		status, err := n.post(ctx, batch, wait)
+		batch := pending[:min(len(pending), noticeBatchSize)]
+		status, err := n.post(ctx, batch, timeout)
 		if status == http.StatusBadRequest && len(batch) > 1 {
 			// One of them cannot be read; it must not hold up the others.
 			for _, x := range batch {
-				if status, err = n.post(ctx, []Notice{x}, wait); err != nil && status != http.StatusBadRequest {
+				if status, err = n.post(ctx, []Notice{x}, timeout); err != nil && status != http.StatusBadRequest {
 					break
 				}
-				n.settle(x, err)
-				left = left[1:]
+				n.markTaken(x, err)
+				pending = pending[1:]
 			}
 		} else if err == nil || status == http.StatusBadRequest {
 			for _, x := range batch {
-				n.settle(x, err)
+				n.markTaken(x, err)
 			}
-			left = left[len(batch):]
+			pending = pending[len(batch):]
 		}
 		if err == nil || status == http.StatusBadRequest {
-			pause, wait = noticePause, noticeWait
+			backoff, timeout = noticeBackoffMin, noticeTimeoutMin
 			continue
 		}
-		n.log.Warn("notices: not taken", "count", len(left), "err", err)
-		sleep(ctx, pause)
-		pause, wait = min(2*pause, noticeMost), min(2*wait, noticeLong)
+		n.log.Warn("notices: not taken", "count", len(pending), "err", err)
+		sleep(ctx, backoff)
+		backoff, timeout = min(2*backoff, noticeBackoffMax), min(2*timeout, noticeTimeoutMax)
 	}
 }
 
-func (n *Notices) settle(x Notice, err error) {
+func (n *Notices) markTaken(x Notice, err error) {
 	if err != nil {
 		n.log.Error("notices: cannot be read", "message", x.Message, "err", err)
 	}
-	n.taken(x.Message)
+	n.onTaken(x.Message)
 }
 
-func (n *Notices) post(ctx context.Context, batch []Notice, wait time.Duration) (int, error) {
-	ctx, left, addr := n.turn(ctx)
-	defer left()
-	ctx, cancel := context.WithTimeout(ctx, wait)
+func (n *Notices) post(ctx context.Context, batch []Notice, timeout time.Duration) (int, error) {
+	ctx, endCall, addr := n.beginCall(ctx)
+	defer endCall()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body) // one object a line
@@ -124,7 +124,7 @@
 		return 0, fmt.Errorf("notices: %w", err)
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(resp.Body, noticeAnswerBytes))
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxNoticeAnswerBytes))
 	if resp.StatusCode != http.StatusNoContent {
 		return resp.StatusCode, fmt.Errorf("notices: status %d", resp.StatusCode)
 	}
--- a/internal/discovery/outage_test.go
+++ b/internal/discovery/outage_test.go
@@ -17,8 +17,8 @@
 
 // growingSpread is the one before boundedSpread, for comparison: it grows with
 // the fleet and with each failure, and word came up to 25 s late.
-func growingSpread(serveAll time.Duration, failures int, draw float64) time.Duration {
-	base := min(min(400*time.Millisecond+serveAll, 4*time.Second)<<min(failures, 8), 5*time.Second+2*serveAll)
+func growingSpread(fleetServeTime time.Duration, failures int, draw float64) time.Duration {
+	base := min(min(400*time.Millisecond+fleetServeTime, 4*time.Second)<<min(failures, 8), 5*time.Second+2*fleetServeTime)
 	return 200*time.Millisecond + time.Duration(float64(base)*draw)
 }
 
@@ -195,11 +195,11 @@
 		if o.known {
 			w.Known = &List{Revision: 1, Complete: true, Members: []Member{}}
 		}
-		w.spread = func(serveAll time.Duration, failures int, draw float64) time.Duration {
+		w.spread = func(fleetServeTime time.Duration, failures int, draw float64) time.Duration {
 			mu.Lock()
 			tries = append(tries, time.Now())
 			mu.Unlock()
-			return o.spread(serveAll, failures, draw)
+			return o.spread(fleetServeTime, failures, draw)
 		}
 		watches.Add(1)
 		go func() { defer watches.Done(); w.Run(ctx) }()
@@ -223,7 +223,7 @@
 	srv.Close()
 	watches.Wait()
 	r := outageResult{finished: true, calls: len(d.calls), away: d.away, peak: worstSecond(d.calls)}
-	r.before = worstSecond(slices.DeleteFunc(before, func(at time.Time) bool { return at.Sub(start) < discStart }))
+	r.before = worstSecond(slices.DeleteFunc(before, func(at time.Time) bool { return at.Sub(start) < maxStartDelay }))
 	for i := range told {
 		if told[i].IsZero() {
 			r.finished = false
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -20,145 +20,146 @@
 )
 
 const (
-	discSilence = 3500 * time.Millisecond // a watch says something every 2 s
-	discAnswer  = time.Second             // the agent answers at once, or is down
-	discPause   = 200 * time.Millisecond  // before the next try
-	discTurn    = 100 * time.Millisecond  // for each relay of the fleet: all may come at one moment, and are served in turn
-	discStart   = time.Second             // within which a start asks: what drains must be left 2 s after its agent has word of it
-	discQueue   = 2 * time.Second         // that an answer is waited for longer, however large the fleet
-	discRest    = 100 * time.Millisecond  // for the rest of a list that goes on after its line: it is written at once
+	watchSilenceTimeout = 3500 * time.Millisecond // a watch says something every 2 s
+	baseAnswerTimeout   = time.Second             // the agent answers at once, or is down
+	reconnectDelay      = 200 * time.Millisecond  // before the next try
+	serveTimePerRelay   = 100 * time.Millisecond  // for each relay of the fleet: all may come at one moment, and are served in turn
+	maxStartDelay       = time.Second             // within which a start asks: what drains must be left 2 s after its agent has word of it
+	maxQueueTimeout     = 2 * time.Second         // that an answer is waited for longer, however large the fleet
+	continuationTimeout = 100 * time.Millisecond  // for the rest of a list that goes on after its line: it is written at once
 )
 
-// newPlainClient makes a client for the agent on this machine: few kept
+// newHTTPClient makes a client for the agent on this machine: few kept
 // connections, no proxy, no second protocol.
-func newPlainClient(conns int, answer time.Duration) *http.Client {
+func newHTTPClient(conns int, answerTimeout time.Duration) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:           (&net.Dialer{Timeout: discAnswer}).DialContext,
+			DialContext:           (&net.Dialer{Timeout: baseAnswerTimeout}).DialContext,
 			MaxIdleConnsPerHost:   conns,
 			MaxConnsPerHost:       conns,
-			ResponseHeaderTimeout: answer,
+			ResponseHeaderTimeout: answerTimeout,
 			IdleConnTimeout:       30 * time.Second,
 			DisableCompression:    true,
-			Protocols:             http1(),
+			Protocols:             http1Only(),
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-func http1() *http.Protocols {
+func http1Only() *http.Protocols {
 	p := &http.Protocols{}
 	p.SetHTTP1(true)
 	return p
 }
 
-// agent is the address of discovery, which the platform may change.
-type agent struct {
-	mu   sync.Mutex
-	addr string
-	left context.CancelFunc // ends what goes on at addr
+// movableAddress is the address of discovery's agent, which the platform may
+// change while calls are under way.
+type movableAddress struct {
+	mu         sync.Mutex
+	addr       string
+	cancelCall context.CancelFunc // ends the call that is under way at addr
 }
 
-// turn gives the address and a context that ends when it is left.
-func (a *agent) turn(ctx context.Context) (context.Context, context.CancelFunc, string) {
+// beginCall gives the address, and a context that ends when it is replaced.
+func (a *movableAddress) beginCall(ctx context.Context) (context.Context, context.CancelFunc, string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
-	a.left = cancel
+	a.cancelCall = cancel
 	return ctx, cancel, a.addr
 }
 
-// Move has the next turn go to addr, and the present one end. A move to where
-// it is already leaves the watch alone.
-func (a *agent) Move(addr string) {
+// Move has the next call go to addr, and ends the one that is under way. A move
+// to the present address changes nothing.
+func (a *movableAddress) Move(addr string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if addr == a.addr {
 		return
 	}
 	a.addr = addr
-	if a.left != nil {
-		a.left()
+	if a.cancelCall != nil {
+		a.cancelCall()
 	}
 }
 
 // Watch keeps a watch on the list and hands on its news.
 type Watch struct {
-	agent
-	log      *slog.Logger
-	client   *http.Client
-	answer   time.Duration // a call unanswered for so long has failed
-	silence  time.Duration
-	news     func(*List) // called in order
-	Refused  func()      // called where a try was turned away or the first is put off; may be nil
-	random   func() float64
-	all      time.Duration // what discovery takes to serve every relay of the fleet
-	Known    *List         // what the first watch goes on from; nil for nothing
-	spread   retrySpread
-	failed   int  // tries in a row that were refused, or cut short after the first
-	ended    bool // one was cut short, and another came soon after it
-	tooLarge int  // lists in a row that were larger than maxList
-	maxList  int  // bytes of a list or a line of a watch
+	movableAddress
+	log            *slog.Logger
+	client         *http.Client
+	answerTimeout  time.Duration // a call unanswered for so long has failed
+	silenceTimeout time.Duration // a watch on which nothing came for so long has failed
+	onList         func(*List)   // called in order
+	Refused        func()        // called where a try was turned away or the first is put off; may be nil
+	random         func() float64
+	fleetServeTime time.Duration // what discovery takes to serve every relay of the fleet
+	Known          *List         // what the first watch goes on from; nil for nothing
+	spread         retrySpread
+	failures       int  // tries in a row that were refused, or cut short after the first
+	reconnected    bool // a connection ended, and the watch was opened anew at once
+	oversized      int  // lists in a row that were larger than listLimit
+	listLimit      int  // bytes of a list or a line of a watch
 }
 
 // NewWatch makes the watch of one relay of so many. Where many ask at once
 // an answer waits for those before it: a relay that hangs up meanwhile and asks
 // again goes to the end of the queue and makes it longer.
-func NewWatch(addr string, relays int, log *slog.Logger, news func(*List)) *Watch {
-	all := time.Duration(relays) * discTurn
-	answer := discAnswer + min(all/4, discQueue)
-	return &Watch{agent: agent{addr: addr}, log: log, client: newPlainClient(4, answer), answer: answer,
-		silence: discSilence, news: news, random: rand.Float64, all: all, spread: boundedSpread, maxList: maxListBytes}
+func NewWatch(addr string, relays int, log *slog.Logger, onList func(*List)) *Watch {
+	fleetServeTime := time.Duration(relays) * serveTimePerRelay
+	answerTimeout := baseAnswerTimeout + min(fleetServeTime/4, maxQueueTimeout)
+	return &Watch{movableAddress: movableAddress{addr: addr}, log: log, client: newHTTPClient(4, answerTimeout), answerTimeout: answerTimeout,
+		silenceTimeout: watchSilenceTimeout, onList: onList, random: rand.Float64, fleetServeTime: fleetServeTime, spread: boundedSpread, listLimit: maxListBytes}
 }
 
 // Run watches until ctx ends. What is heard is passed on with no delay: the
 // grace after word of a drain counts from when discovery wrote it.
-func (d *Watch) Run(ctx context.Context) {
-	defer d.client.CloseIdleConnections()
-	rev, whole := int64(0), false
-	if d.Known.Sound() { // a watch from there costs discovery one call, and only what has changed
-		rev, whole = d.Known.Revision, true
-	}
-	first := d.first()
-	if first > discPause && d.Refused != nil {
-		d.Refused()
-	}
-	turn, cancel, _ := d.turn(ctx)
-	sleep(turn, first)
+func (w *Watch) Run(ctx context.Context) {
+	defer w.client.CloseIdleConnections()
+	revision, listKnown := int64(0), false
+	if w.Known.Sound() { // a watch from there costs discovery one call, and only what has changed
+		revision, listKnown = w.Known.Revision, true
+	}
+	delay := w.startDelay()
+	if delay > reconnectDelay && w.Refused != nil {
+		w.Refused()
+	}
+	callCtx, cancel, _ := w.beginCall(ctx)
+	sleep(callCtx, delay)
 	cancel()
 	for ctx.Err() == nil {
-		turn, cancel, addr := d.turn(ctx)
+		callCtx, cancel, addr := w.beginCall(ctx)
 		var err error
-		if !whole {
+		if !listKnown {
 			var l *List
-			if l, err = d.fetch(turn, addr); err == nil {
-				rev, whole = l.Revision, true
-				d.news(l)
+			if l, err = w.fetchList(callCtx, addr); err == nil {
+				revision, listKnown = l.Revision, true
+				w.onList(l)
 			}
 		}
-		if whole {
-			rev, whole, err = d.watch(turn, addr, rev)
+		if listKnown {
+			revision, listKnown, err = w.followChanges(callCtx, addr, revision)
 		}
-		if turn.Err() == nil {
-			pause := d.pause(err)
-			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "pause_ms", pause.Milliseconds(), "err", err)
-			if refused(err) && d.Refused != nil {
-				d.Refused()
+		if callCtx.Err() == nil {
+			delay := w.retryDelay(err)
+			w.log.Warn("discovery: watch over", "revision", revision, "whole", listKnown, "pause_ms", delay.Milliseconds(), "err", err)
+			if isRefusal(err) && w.Refused != nil {
+				w.Refused()
 			}
-			sleep(turn, pause)
+			sleep(callCtx, delay)
 		}
-		if turn.Err() != nil {
-			d.recovered() // it has moved: what turned calls away is left
+		if callCtx.Err() != nil {
+			w.recovered() // it has moved: what turned calls away is left
 		}
 		cancel()
 	}
 }
 
-// first is how long a start puts off its first call. The whole fleet may be
+// startDelay is how long a start puts off its first call. The whole fleet may be
 // starting, but whatever the agent has by now counts as told to this relay,
 // and the known list may be old.
-func (d *Watch) first() time.Duration {
-	return time.Duration(float64(min(d.all/2, discStart)) * d.random())
+func (w *Watch) startDelay() time.Duration {
+	return time.Duration(float64(min(w.fleetServeTime/2, maxStartDelay)) * w.random())
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -170,15 +171,15 @@
 	}
 }
 
-// fetch asks once for the whole list.
-func (d *Watch) fetch(ctx context.Context, addr string) (*List, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.answer)
+// fetchList asks once for the whole list.
+func (w *Watch) fetchList(ctx context.Context, addr string) (*List, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.answerTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+ListPath, nil)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	resp, err := d.client.Do(req)
+	resp, err := w.client.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
@@ -186,7 +187,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, statusError("list", resp.StatusCode)
 	}
-	text, err := readList(resp, d.maxList)
+	text, err := readList(resp, w.listLimit)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
@@ -197,20 +198,21 @@
 	return l, err
 }
 
-// watch follows the changes after a version. whole tells whether the list is
-// still known up to the version that it returns; after a line that cannot be
-// read it is not, and the whole list must be had again.
-func (d *Watch) watch(ctx context.Context, addr string, from int64) (rev int64, whole bool, err error) {
+// followChanges opens a watch and hands on the changes after a revision, until
+// the watch ends. listKnown tells whether the list is still known up to the
+// revision that it returns; after a line that cannot be read it is not, and the
+// whole list has to be fetched again.
+func (w *Watch) followChanges(ctx context.Context, addr string, from int64) (revision int64, listKnown bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	quiet := time.AfterFunc(max(d.silence, d.answer), func() { cancel(errSilent) })
-	defer quiet.Stop()
+	silenceTimer := time.AfterFunc(max(w.silenceTimeout, w.answerTimeout), func() { cancel(errWatchSilent) })
+	defer silenceTimer.Stop()
 	url := "http://" + addr + ListPath + "?watch=1&from=" + strconv.FormatInt(from, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return from, true, fmt.Errorf("discovery: %w", err)
 	}
-	resp, err := d.client.Do(req)
+	resp, err := w.client.Do(req)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -220,31 +222,31 @@
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		err := statusError("watch", resp.StatusCode)
-		return from, errors.Is(err, errAway), err // turned away, it says nothing about the list
-	}
-	quiet.Reset(d.silence)
-	in := newListReader(resp.Body, d.maxList)
-	in.heard = func(open bool) { // the rest of a list that goes on in the next line is written at once
-		quiet.Reset(d.silence)
-		if open {
-			quiet.Reset(discRest)
+		return from, errors.Is(err, errTurnedAway), err // turned away, it says nothing about the list
+	}
+	silenceTimer.Reset(w.silenceTimeout)
+	reader := newListReader(resp.Body, w.listLimit)
+	reader.onBytes = func(partial bool) { // the rest of a list that goes on in the next line is written at once
+		silenceTimer.Reset(w.silenceTimeout)
+		if partial {
+			silenceTimer.Reset(continuationTimeout)
 		}
 	}
-	for rev = from; ; {
-		l, err := in.next()
-		if l != nil && !l.Complete && l.Revision < rev {
-			err = fmt.Errorf("discovery: a change back from revision %d to %d", rev, l.Revision)
+	for revision = from; ; {
+		l, err := reader.next()
+		if l != nil && !l.Complete && l.Revision < revision {
+			err = fmt.Errorf("discovery: a change back from revision %d to %d", revision, l.Revision)
 		}
 		if err != nil {
-			if cause := context.Cause(ctx); cause != nil && in.ended {
+			if cause := context.Cause(ctx); cause != nil && reader.ended {
 				err = cause
 			}
-			return rev, in.ended, fmt.Errorf("discovery: watch: %w", err)
+			return revision, reader.ended, fmt.Errorf("discovery: watch: %w", err)
 		}
-		d.recovered()
+		w.recovered()
 		if l != nil {
-			rev = l.Revision
-			d.news(l)
+			revision = l.Revision
+			w.onList(l)
 		}
 	}
 }
