Split internal/discovery by job, with typed errors

Reason: watch.go held the transport, the address, backoffs, the list's reading and the watch in one, with functions of 40 lines and more.

Change: client.go has the transport and the address, backoff.go the delays, list.go and listreader.go the list's forms, stream.go the two calls, watch.go the loop over them, notices.go the notices. An unwanted status is a StatusError, and what a status says of the list is read off it in place of a code handed along. Exported items say what they are. Wire forms and delays stay.

Checked: the package's tests, vet over all packages.

--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
-	"net/http"
 	"syscall"
 	"time"
 )
 
 const (
+	reconnectDelay   = 200 * time.Millisecond  // mean, before a watch that ended or fell silent is opened anew
 	retryBackoffBase = 400 * time.Millisecond  // spread of the first try after a refused one, beside what the fleet adds
 	retryBackoffMin  = 200 * time.Millisecond  // no refused try is made again sooner
 	retryBackoffMax  = 1800 * time.Millisecond // nor later, however many were refused in a row and however large the fleet
@@ -21,21 +20,11 @@
 	tooLargeBackoffMax  = 30 * time.Second
 )
 
-// errTurnedAway is a status by which discovery turns a call away.
-var errTurnedAway = errors.New("turned away")
-
-// statusError tells of an answer other than 200.
-func statusError(what string, code int) error {
-	if code == http.StatusTooManyRequests || code >= http.StatusInternalServerError {
-		return fmt.Errorf("discovery: %s: status %d: %w", what, code, errTurnedAway)
-	}
-	return fmt.Errorf("discovery: %s: status %d", what, code)
-}
-
 // isRefusal reports whether discovery turned a try away: it has too many, or is
 // not there.
 func isRefusal(err error) bool {
-	return errors.Is(err, errTurnedAway) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	var status *StatusError
+	return errors.As(err, &status) && status.turnedAway() || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // limitsItself reports whether a try ended by a time limit, or never left this
@@ -48,9 +37,6 @@
 		errors.As(err, &opError) && opError.Op == "dial" && !isRefusal(err)
 }
 
-// errWatchSilent ends a watch on which nothing came for too long.
-var errWatchSilent = errors.New("silent")
-
 // retrySpread gives the time from a refused try to the next one. fleetServeTime is
 // what discovery takes to serve the whole fleet, failures is how many tries in
 // a row were refused before this one, and draw is evenly distributed over 0 to 1.
@@ -72,31 +58,50 @@
 	return low + time.Duration(float64(high-low)*draw)
 }
 
+// tooLargeDelay is how long to wait before a list that was too large is asked for
+// again, after so many before it in a row: an exponential backoff with jitter.
+func tooLargeDelay(before int, draw float64) time.Duration {
+	longest := min(tooLargeBackoffBase<<min(before, 8), tooLargeBackoffMax)
+	return longest/2 + time.Duration(float64(longest/2)*draw)
+}
+
+// failureRun counts the failures since a watch last brought something.
+type failureRun struct {
+	refused     int  // tries that were refused, or cut short after the first
+	reconnected bool // a connection ended, and the watch was opened anew at once
+	tooLarge    int  // lists that were too large
+}
+
 // retryDelay is how long to wait before the next try. A watch that ended is opened
 // anew soon, for the sake of word of a drain. Where that ends too, before it
 // brought anything, discovery is in trouble, and the tries are spread as those
 // that it refuses.
 func (w *Watch) retryDelay(err error) time.Duration {
+	draw, run := w.random(), &w.failures
 	var tooLarge *ListTooLargeError
-	if errors.As(err, &tooLarge) {
-		longest := min(tooLargeBackoffBase<<min(w.oversized, 8), tooLargeBackoffMax)
-		w.oversized++
-		return longest/2 + time.Duration(float64(longest/2)*w.random())
-	}
-	if limitsItself(err) {
-		return w.shortDelay()
+	switch {
+	case errors.As(err, &tooLarge):
+		run.tooLarge++
+		return tooLargeDelay(run.tooLarge-1, draw)
+	case limitsItself(err):
+	case !isRefusal(err) && !run.reconnected:
+		run.reconnected = true
+	default:
+		run.refused++
+		return w.spread(w.fleetServeTime, run.refused-1, draw)
 	}
-	if !isRefusal(err) && !w.reconnected {
-		w.reconnected = true
-		return w.shortDelay()
-	}
-	w.failures++
-	return w.spread(w.fleetServeTime, w.failures-1, w.random())
-}
-
-func (w *Watch) shortDelay() time.Duration {
-	return time.Duration(float64(reconnectDelay) * (0.5 + w.random()))
+	return time.Duration(float64(reconnectDelay) * (0.5 + draw))
 }
 
 // recovered ends a run of failures: a watch brought something.
-func (w *Watch) recovered() { w.failures, w.reconnected, w.oversized = 0, false, 0 }
+func (w *Watch) recovered() { w.failures = failureRun{} }
+
+// sleep waits, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/discovery/internal_test.go
+++ b/internal/discovery/internal_test.go
@@ -16,7 +16,7 @@
 // comes within a bound, and those of a large fleet are spread over a second or
 // so, which keeps them under one call a second of each relay.
 func TestDiscoveryPause(t *testing.T) {
-	for _, refusal := range []error{statusError("list", http.StatusServiceUnavailable), statusError("list", http.StatusTooManyRequests),
+	for _, refusal := range []error{&StatusError{"list", http.StatusServiceUnavailable}, &StatusError{"watch", http.StatusTooManyRequests},
 		fmt.Errorf("discovery: %w", syscall.ECONNREFUSED), fmt.Errorf("discovery: %w", syscall.ECONNRESET)} {
 		for _, relays := range []int{1, 30, 80, 300, 450, 3000} {
 			latest := NewWatch("127.0.0.1:1", relays, slog.New(slog.DiscardHandler), nil)
@@ -114,7 +114,7 @@
 		if x.answerTimeout >= told-grace {
 			t.Errorf("%d relays: an answer is waited for %v", relays, x.answerTimeout)
 		}
-		if p := x.retryDelay(errTurnedAway); p >= told-grace/2 {
+		if p := x.retryDelay(&StatusError{"list", http.StatusServiceUnavailable}); p >= told-grace/2 {
 			t.Errorf("%d relays: the first pause is %v", relays, p)
 		}
 	}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -18,23 +18,23 @@
 // Phases of a member.
 const (
 	Up       = "up"
-	Draining = "draining"
-	Removed  = "removed"
+	Draining = "draining" // takes nothing new, and finishes what it has
+	Removed  = "removed"  // occurs among changes alone
 )
 
 // Member is an endpoint in discovery's list.
 type Member struct {
 	ID       string  `json:"id"`
 	HostPort string  `json:"host_port"`
-	Locality string  `json:"locality"`
+	Locality string  `json:"locality"` // the zone it is in
 	Flavor   string  `json:"flavor"`
-	Cell     int     `json:"cell"`
+	Cell     int     `json:"cell"` // the destination that it serves
 	Phase    string  `json:"phase"`
 	Size     float64 `json:"size"`
 	UpSince  int64   `json:"up_since_ms"` // Unix time at which it last started; 0 for long ago
 }
 
-// Check tells what keeps a member from being used.
+// Check returns an error that says what keeps a member from being used, or nil.
 func (m *Member) Check() error {
 	switch {
 	case m.ID == "":
@@ -52,8 +52,8 @@
 
 // List is discovery's list, or what changed in it.
 type List struct {
-	Revision int64    `json:"revision"`
-	Complete bool     `json:"complete"`
+	Revision int64    `json:"revision"` // of the list with these changes; it never falls
+	Complete bool     `json:"complete"` // the whole list: a member that is missing is gone
 	Members  []Member `json:"members"`
 }
 
@@ -62,8 +62,8 @@
 	return l != nil && l.Complete && !slices.ContainsFunc(l.Members, func(m Member) bool { return m.Check() != nil })
 }
 
-// Parse reads a list, or a line of a watch. Where the text ends in the middle of
-// one the error is an io.ErrUnexpectedEOF.
+// Parse reads a list, or a line of a watch, and checks its members. Where the
+// text ends in the middle of one the error wraps io.ErrUnexpectedEOF.
 func Parse(text []byte) (*List, error) {
 	l := &List{}
 	in := json.NewDecoder(bytes.NewReader(text))
--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -14,13 +14,13 @@
 	"troutusher/internal/mailbox"
 )
 
-// Words for the ends that a notice tells.
+// Outcomes that a notice tells.
 const (
-	GivenUp    = "given_up"
-	HandedBack = "handed_back"
+	GivenUp    = "given_up"    // it failed
+	HandedBack = "handed_back" // its client may come again
 )
 
-// Notice tells the platform how a message ended.
+// Notice tells the platform how a message ended, where it was not delivered.
 type Notice struct {
 	Message string `json:"message"`
 	Outcome string `json:"outcome"`
@@ -37,7 +37,8 @@
 	maxNoticeAnswerBytes = 64 << 10 // of an answer that are read, so that its connection can carry the next call
 )
 
-// Notices sends notices until each has been taken. Repeats are harmless.
+// Notices sends notices, each again and again until it has been taken: repeats
+// are harmless.
 type Notices struct {
 	movableAddress
 	log     *slog.Logger
@@ -52,7 +53,7 @@
 		queue: mailbox.New[Notice](), onTaken: onTaken}
 }
 
-// Put has a notice sent.
+// Put adds a notice to those that are to be sent. It never blocks.
 func (n *Notices) Put(x Notice) { n.queue.Put(x) }
 
 // Run sends until ctx ends.
@@ -69,24 +70,9 @@
 			}
 			continue
 		}
-		batch := pending[:min(len(pending), noticeBatchSize)]
-		status, err := n.post(ctx, batch, timeout)
-		if status == http.StatusBadRequest && len(batch) > 1 {
-			// One of them cannot be read; it must not hold up the others.
-			for _, x := range batch {
-				if status, err = n.post(ctx, []Notice{x}, timeout); err != nil && status != http.StatusBadRequest {
-					break
-				}
-				n.markTaken(x, err)
-				pending = pending[1:]
-			}
-		} else if err == nil || status == http.StatusBadRequest {
-			for _, x := range batch {
-				n.markTaken(x, err)
-			}
-			pending = pending[len(batch):]
-		}
-		if err == nil || status == http.StatusBadRequest {
+		done, err := n.send(ctx, pending[:min(len(pending), noticeBatchSize)], timeout)
+		pending = pending[done:]
+		if err == nil {
 			backoff, timeout = noticeBackoffMin, noticeTimeoutMin
 			continue
 		}
@@ -96,14 +82,38 @@
 	}
 }
 
-func (n *Notices) markTaken(x Notice, err error) {
-	if err != nil {
-		n.log.Error("notices: cannot be read", "message", x.Message, "err", err)
+// send sends a batch and returns how many of its notices are done with: taken,
+// or such as the agent cannot read, which must not hold up the others.
+func (n *Notices) send(ctx context.Context, batch []Notice, timeout time.Duration) (done int, err error) {
+	err = n.post(ctx, batch, timeout)
+	if unreadable(err) && len(batch) > 1 {
+		for i := range batch {
+			if done, err := n.send(ctx, batch[i:i+1], timeout); done == 0 {
+				return i, err
+			}
+		}
+		return len(batch), nil
+	}
+	if err != nil && !unreadable(err) {
+		return 0, err
 	}
-	n.onTaken(x.Message)
+	for _, x := range batch {
+		if err != nil {
+			n.log.Error("notices: cannot be read", "message", x.Message, "err", err)
+		}
+		n.onTaken(x.Message)
+	}
+	return len(batch), nil
+}
+
+// unreadable reports whether the agent answered that it cannot read a notice.
+func unreadable(err error) bool {
+	var status *StatusError
+	return errors.As(err, &status) && status.Status == http.StatusBadRequest
 }
 
-func (n *Notices) post(ctx context.Context, batch []Notice, timeout time.Duration) (int, error) {
+// post makes one call with a batch.
+func (n *Notices) post(ctx context.Context, batch []Notice, timeout time.Duration) error {
 	ctx, endCall, addr := n.beginCall(ctx)
 	defer endCall()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -112,23 +122,23 @@
 	enc := json.NewEncoder(&body) // one object a line
 	for _, x := range batch {
 		if err := enc.Encode(x); err != nil {
-			return 0, fmt.Errorf("notices: %w", err)
+			return fmt.Errorf("notices: %w", err)
 		}
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+NoticePath, &body)
 	if err != nil {
-		return 0, fmt.Errorf("notices: %w", err)
+		return fmt.Errorf("notices: %w", err)
 	}
 	resp, err := n.client.Do(req)
 	if err != nil {
-		return 0, fmt.Errorf("notices: %w", err)
+		return fmt.Errorf("notices: %w", err)
 	}
 	defer resp.Body.Close()
 	io.Copy(io.Discard, io.LimitReader(resp.Body, maxNoticeAnswerBytes))
 	if resp.StatusCode != http.StatusNoContent {
-		return resp.StatusCode, fmt.Errorf("notices: status %d", resp.StatusCode)
+		return &StatusError{Call: "notices", Status: resp.StatusCode}
 	}
-	return resp.StatusCode, nil
+	return nil
 }
 
 // ReadNotices reads notices, one JSON object a line; an error names the first
