--- a/internal/discovery/outage_test.go
+++ b/internal/discovery/outage_test.go
@@ -222,6 +222,8 @@
 	cancel()
 	srv.Close()
 	watches.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	r := outageResult{finished: true, calls: len(d.calls), away: d.away, peak: worstSecond(d.calls)}
 	r.before = worstSecond(slices.DeleteFunc(before, func(at time.Time) bool { return at.Sub(start) < maxStartDelay }))
 	for i := range told {
