--- a/internal/discovery/outage_test.go
+++ b/internal/discovery/outage_test.go
@@ -68,7 +68,9 @@
 // may come at once.
 type limitedDiscovery struct {
 	mu     sync.Mutex
-	rate   float64 // calls a second; 0 for no limit
+	rate   float64       // calls a second; 0 for no limit
+	queue  time.Duration // that a call may wait for its place, in order; then it is turned away
+	free   time.Time     // when the last place that was given away is over
 	tokens float64
 	at     time.Time
 	calls  []time.Time
@@ -85,6 +87,9 @@
 	if d.rate == 0 {
 		return true
 	}
+	if d.queue > 0 {
+		return d.waitForPlace(now)
+	}
 	d.tokens = min(d.tokens+now.Sub(d.at).Seconds()*d.rate, max(1, d.rate/10))
 	d.at = now
 	if d.tokens < 1 {
@@ -95,6 +100,25 @@
 	return true
 }
 
+// waitForPlace has a call wait in a queue, with the lock given up meanwhile.
+func (d *limitedDiscovery) waitForPlace(now time.Time) bool {
+	at := now
+	if d.free.After(now) {
+		at = d.free
+	}
+	wait, served := at.Sub(now), true
+	if wait > d.queue {
+		wait, served = d.queue, false
+		d.away++
+	} else {
+		d.free = at.Add(time.Duration(float64(time.Second) / d.rate))
+	}
+	d.mu.Unlock()
+	sleep(d.end, wait)
+	d.mu.Lock()
+	return served
+}
+
 func (d *limitedDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	admitted := d.admit()
 	d.mu.Lock()
@@ -162,6 +186,7 @@
 	relays, told int           // the watches, and how many relays each is told of
 	refuses      time.Duration // for so long
 	rate         float64       // calls a second that are served after it
+	queue        time.Duration // that a call may wait for its turn
 	known        bool          // the watches have a list, and ask for what changed since: one call in place of two
 	spread       retrySpread
 }
@@ -208,7 +233,7 @@
 	mu.Lock()
 	before := slices.Clone(tries)
 	mu.Unlock()
-	d := &limitedDiscovery{rate: o.rate, tokens: max(1, o.rate/10), at: time.Now(), end: ctx}
+	d := &limitedDiscovery{rate: o.rate, queue: o.queue, tokens: max(1, o.rate/10), at: time.Now(), end: ctx}
 	srv := &http.Server{Handler: d}
 	ln := port.listen(t)
 	back := time.Now()
@@ -253,6 +278,18 @@
 	return most
 }
 
+// row is a line of the table that BenchmarkOutage prints.
+func (o outage) row(spread string, r outageResult) string {
+	calls, latest := 2, fmt.Sprintf("%.1f s", r.latest.Seconds())
+	if o.known {
+		calls = 1
+	}
+	if !r.finished {
+		latest = "not within 32 s"
+	}
+	return fmt.Sprintf("| %d | %d | %v | %v | %s | %s | %d | %d | %d | %d of %d |", o.relays, calls, o.rate, o.queue, spread, latest, r.late, r.before, r.peak, r.away, r.calls)
+}
+
 // BenchmarkOutage prints what each spread does, as a table; it takes minutes.
 func BenchmarkOutage(b *testing.B) {
 	fixed := func(most time.Duration) retrySpread {
@@ -268,30 +305,32 @@
 		name   string
 		spread retrySpread
 	}{{"growing", growingSpread}, {"bounded 1.8 s", boundedSpread}, {"bounded 3 s", fixed(3 * time.Second)}, {"0.1 to 0.3 s", narrowSpread}}
-	fmt.Println("| watches | calls each | served a second | spread | latest | later than 6 s | tries a second while refused | calls a second after | turned away of calls |")
+	fmt.Println("| watches | calls each | served a second | queue | spread | latest | later than 6 s | tries a second while refused | calls a second after | turned away of calls |")
+	measure := func(outages ...outage) { // all at one time
+		rows := make([]string, len(outages)*len(spreads))
+		var all sync.WaitGroup
+		for i := range rows {
+			o, s := outages[i/len(spreads)], spreads[i%len(spreads)]
+			o.spread = s.spread
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				rows[i] = o.row(s.name, o.play(b, 32*time.Second))
+			}()
+		}
+		all.Wait()
+		for _, row := range rows {
+			fmt.Println(row)
+		}
+	}
+	overbooked := outage{relays: 80, told: 80, refuses: 8 * time.Second, rate: 10.5, queue: 2 * time.Second}
+	withList := overbooked
+	withList.known = true
+	measure(withList, overbooked)
 	for _, known := range []bool{true, false} {
 		for _, relays := range []int{30, 300, 450} {
-			for _, rate := range []float64{100, 300} {
-				rows := make([]string, len(spreads))
-				var all sync.WaitGroup
-				for i, s := range spreads {
-					all.Add(1)
-					go func() {
-						defer all.Done()
-						r := outage{relays: relays, told: relays, refuses: 8 * time.Second, rate: rate, known: known, spread: s.spread}.play(b, 32*time.Second)
-						latest := fmt.Sprintf("%.1f s", r.latest.Seconds())
-						if !r.finished {
-							latest = "not within 32 s"
-						}
-						rows[i] = fmt.Sprintf("| %d | %d | %v | %s | %s | %d | %d | %d | %d of %d |", relays, map[bool]int{true: 1, false: 2}[known], rate, s.name,
-							latest, r.late, r.before, r.peak, r.away, r.calls)
-					}()
-				}
-				all.Wait()
-				for _, row := range rows {
-					fmt.Println(row)
-				}
-			}
+			measure(outage{relays: relays, told: relays, refuses: 8 * time.Second, rate: 100, known: known},
+				outage{relays: relays, told: relays, refuses: 8 * time.Second, rate: 300, known: known})
 		}
 	}
 }
