--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -14,13 +14,13 @@
 	"troutusher/internal/mailbox"
 )
 
-// Words for the ends that a notice tells.
+// Outcomes that a notice tells.
 const (
-	GivenUp    = "given_up"
-	HandedBack = "handed_back"
+	GivenUp    = "given_up"    // it failed
+	HandedBack = "handed_back" // its client may come again
 )
 
-// Notice tells the platform how a message ended.
+// Notice tells the platform how a message ended, where it was not delivered.
 type Notice struct {
 	Message string `json:"message"`
 	Outcome string `json:"outcome"`
@@ -28,105 +28,117 @@
 }
 
 const (
-	noticeBatch = 64
-	noticeWait  = 200 * time.Millisecond // doubles with each failure in a row: a second try is still in time
-	noticePause = 50 * time.Millisecond  // grows with each failure in a row
-	noticeMost  = 500 * time.Millisecond
-	noticeLong  = 2 * time.Second
+	noticeBatchSize  = 64
+	noticeTimeoutMin = 200 * time.Millisecond // doubles with each failure in a row: a second try is still in time
+	noticeBackoffMin = 50 * time.Millisecond  // grows with each failure in a row
+	noticeBackoffMax = 500 * time.Millisecond
+	noticeTimeoutMax = 2 * time.Second
+
+	maxNoticeAnswerBytes = 64 << 10 // of an answer that are read, so that its connection can carry the next call
 )
 
-// Notices sends notices until each has been taken. Repeats are harmless.
+// Notices sends notices, each again and again until it has been taken: repeats
+// are harmless.
 type Notices struct {
-	agent
-	log    *slog.Logger
-	client *http.Client
-	in     *mailbox.Mailbox[Notice]
-	taken  func(id string)
+	movableAddress
+	log     *slog.Logger
+	client  *http.Client
+	queue   *mailbox.Mailbox[Notice]
+	onTaken func(id string)
 }
 
-// NewNotices makes the sender of one relay; taken hears of each that was taken.
-func NewNotices(addr string, log *slog.Logger, taken func(string)) *Notices {
-	return &Notices{agent: agent{addr: addr}, log: log, client: newPlainClient(2, discAnswer),
-		in: mailbox.New[Notice](), taken: taken}
+// NewNotices makes the sender of one relay; onTaken hears of each that was taken.
+func NewNotices(addr string, log *slog.Logger, onTaken func(string)) *Notices {
+	return &Notices{movableAddress: movableAddress{addr: addr}, log: log, client: newHTTPClient(2, baseAnswerTimeout),
+		queue: mailbox.New[Notice](), onTaken: onTaken}
 }
 
-// Put has a notice sent.
-func (n *Notices) Put(x Notice) { n.in.Put(x) }
+// Put adds a notice to those that are to be sent. It never blocks.
+func (n *Notices) Put(x Notice) { n.queue.Put(x) }
 
 // Run sends until ctx ends.
 func (n *Notices) Run(ctx context.Context) {
 	defer n.client.CloseIdleConnections()
-	var fresh, left []Notice
-	for pause, wait := noticePause, noticeWait; ctx.Err() == nil; {
-		fresh = n.in.TakeAll(fresh)
-		left = append(left, fresh...)
-		if len(left) == 0 {
+	var fresh, pending []Notice
+	for backoff, timeout := noticeBackoffMin, noticeTimeoutMin; ctx.Err() == nil; {
+		fresh = n.queue.TakeAll(fresh)
+		pending = append(pending, fresh...)
+		if len(pending) == 0 {
 			select {
 			case <-ctx.Done():
-			case <-n.in.Ready():
+			case <-n.queue.Ready():
 			}
 			continue
 		}
-		batch := left[:min(len(left), noticeBatch)]
-		status, err := n.post(ctx, batch, wait)
-		if status == http.StatusBadRequest && len(batch) > 1 {
-			// One of them cannot be read; it must not hold up the others.
-			for _, x := range batch {
-				if status, err = n.post(ctx, []Notice{x}, wait); err != nil && status != http.StatusBadRequest {
-					break
-				}
-				n.settle(x, err)
-				left = left[1:]
-			}
-		} else if err == nil || status == http.StatusBadRequest {
-			for _, x := range batch {
-				n.settle(x, err)
-			}
-			left = left[len(batch):]
-		}
-		if err == nil || status == http.StatusBadRequest {
-			pause, wait = noticePause, noticeWait
+		done, err := n.send(ctx, pending[:min(len(pending), noticeBatchSize)], timeout)
+		pending = pending[done:]
+		if err == nil {
+			backoff, timeout = noticeBackoffMin, noticeTimeoutMin
 			continue
 		}
-		n.log.Warn("notices: not taken", "count", len(left), "err", err)
-		sleep(ctx, pause)
-		pause, wait = min(2*pause, noticeMost), min(2*wait, noticeLong)
+		n.log.Warn("notices: not taken", "count", len(pending), "err", err)
+		sleep(ctx, backoff)
+		backoff, timeout = min(2*backoff, noticeBackoffMax), min(2*timeout, noticeTimeoutMax)
 	}
 }
 
-func (n *Notices) settle(x Notice, err error) {
-	if err != nil {
-		n.log.Error("notices: cannot be read", "message", x.Message, "err", err)
+// send sends a batch and returns how many of its notices are done with: taken,
+// or such as the agent cannot read, which must not hold up the others.
+func (n *Notices) send(ctx context.Context, batch []Notice, timeout time.Duration) (done int, err error) {
+	err = n.post(ctx, batch, timeout)
+	if unreadable(err) && len(batch) > 1 {
+		for i := range batch {
+			if done, err := n.send(ctx, batch[i:i+1], timeout); done == 0 {
+				return i, err
+			}
+		}
+		return len(batch), nil
 	}
-	n.taken(x.Message)
+	if err != nil && !unreadable(err) {
+		return 0, err
+	}
+	for _, x := range batch {
+		if err != nil {
+			n.log.Error("notices: cannot be read", "message", x.Message, "err", err)
+		}
+		n.onTaken(x.Message)
+	}
+	return len(batch), nil
+}
+
+// unreadable reports whether the agent answered that it cannot read a notice.
+func unreadable(err error) bool {
+	var status *StatusError
+	return errors.As(err, &status) && status.Status == http.StatusBadRequest
 }
 
-func (n *Notices) post(ctx context.Context, batch []Notice, wait time.Duration) (int, error) {
-	ctx, left, addr := n.turn(ctx)
-	defer left()
-	ctx, cancel := context.WithTimeout(ctx, wait)
+// post makes one call with a batch.
+func (n *Notices) post(ctx context.Context, batch []Notice, timeout time.Duration) error {
+	ctx, endCall, addr := n.beginCall(ctx)
+	defer endCall()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body) // one object a line
 	for _, x := range batch {
 		if err := enc.Encode(x); err != nil {
-			return 0, fmt.Errorf("notices: %w", err)
+			return fmt.Errorf("notices: %w", err)
 		}
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+NoticePath, &body)
 	if err != nil {
-		return 0, fmt.Errorf("notices: %w", err)
+		return fmt.Errorf("notices: %w", err)
 	}
 	resp, err := n.client.Do(req)
 	if err != nil {
-		return 0, fmt.Errorf("notices: %w", err)
+		return fmt.Errorf("notices: %w", err)
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(resp.Body, listMost))
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxNoticeAnswerBytes))
 	if resp.StatusCode != http.StatusNoContent {
-		return resp.StatusCode, fmt.Errorf("notices: status %d", resp.StatusCode)
+		return &StatusError{Call: "notices", Status: resp.StatusCode}
 	}
-	return resp.StatusCode, nil
+	return nil
 }
 
 // ReadNotices reads notices, one JSON object a line; an error names the first
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,291 +1,126 @@
 package discovery
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"errors"
-	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"strconv"
-	"sync"
-	"syscall"
 	"time"
 )
 
-// Paths of discovery.
 const (
-	ListPath   = "/registry/instances"
-	NoticePath = "/reports"
+	serveTimePerRelay = 100 * time.Millisecond // all relays of the fleet may call at one moment, and are served in turn
+	maxQueueTimeout   = 2 * time.Second        // that an answer is waited for longer, however large the fleet
+	maxStartDelay     = time.Second            // within which a start asks: what drains must be left 2 s after its agent has word of it
 )
 
-const (
-	discSilence = 3500 * time.Millisecond // a watch says something every 2 s
-	discAnswer  = time.Second             // the agent answers at once, or is down
-	discPause   = 200 * time.Millisecond  // before the next try
-	discAway    = 400 * time.Millisecond  // the same after one that was turned away; doubles with each in a row
-	discMost    = 5 * time.Second
-	discTurn    = 100 * time.Millisecond // for each relay of the fleet: all may come at one moment, and are served in turn
-	discStart   = time.Second            // within which a start asks: what drains must be left 2 s after its agent has word of it
-	discTold    = 4 * time.Second        // within which a second try comes: after a move word counts as heard by then
-	discQueue   = 2 * time.Second        // that an answer is waited for longer, however large the fleet
-	discRest    = 100 * time.Millisecond // for the rest of a list that goes on after its line: it is written at once
-	listMost    = 4 << 20                // bytes of a list or a line
-)
-
-// newPlainClient makes a client for the agent on this machine: few kept
-// connections, no proxy, no second protocol.
-func newPlainClient(conns int, answer time.Duration) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:           (&net.Dialer{Timeout: discAnswer}).DialContext,
-			MaxIdleConnsPerHost:   conns,
-			MaxConnsPerHost:       conns,
-			ResponseHeaderTimeout: answer,
-			IdleConnTimeout:       30 * time.Second,
-			DisableCompression:    true,
-			Protocols:             http1(),
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
-func http1() *http.Protocols {
-	p := &http.Protocols{}
-	p.SetHTTP1(true)
-	return p
-}
-
-// agent is the address of discovery, which the platform may change.
-type agent struct {
-	mu   sync.Mutex
-	addr string
-	left context.CancelFunc // ends what goes on at addr
-}
-
-// turn gives the address and a context that ends when it is left.
-func (a *agent) turn(ctx context.Context) (context.Context, context.CancelFunc, string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	ctx, cancel := context.WithCancel(ctx)
-	a.left = cancel
-	return ctx, cancel, a.addr
-}
-
-// Move has the next turn go to addr, and the present one end. A move to where
-// it is already leaves the watch alone.
-func (a *agent) Move(addr string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if addr == a.addr {
-		return
-	}
-	a.addr = addr
-	if a.left != nil {
-		a.left()
-	}
-}
-
-// Watch keeps a watch on the list and hands on its news.
+// Watch follows the list of one relay's agent and hands on its news. Known and
+// Refused may be set before Run.
 type Watch struct {
-	agent
-	log     *slog.Logger
-	client  *http.Client
-	answer  time.Duration // a call unanswered for so long has failed
-	silence time.Duration
-	news    func(*List) // called in order
-	Refused func()      // called where a try was turned away or the first is put off; may be nil
-	random  func() float64
-	all     time.Duration // what discovery takes to serve every relay of the fleet
-	Known   *List         // what the first watch goes on from; nil for nothing
-	away    int           // tries turned away in a row
+	// Known is the list that the first watch goes on from; nil for none.
+	Known *List
+	// Refused is called where a call was refused, and where the first is put off
+	// for long. It may be nil.
+	Refused func()
+
+	movableAddress
+	log            *slog.Logger
+	client         *http.Client
+	onList         func(*List)    // called in order
+	random         func() float64 // draws between 0 and 1
+	spread         retrySpread
+	fleetServeTime time.Duration // what discovery takes to serve every relay of the fleet
+	answerTimeout  time.Duration // a call unanswered for so long has failed
+	silenceTimeout time.Duration // a watch on which nothing came for so long has failed
+	listLimit      int           // bytes of a list or a line of a watch
+	failures       failureRun
 }
 
-// NewWatch makes the watch of one relay of so many. Where many ask at once
-// an answer waits for those before it: a relay that hangs up meanwhile and asks
-// again goes to the end of the queue and makes it longer.
-func NewWatch(addr string, relays int, log *slog.Logger, news func(*List)) *Watch {
-	all := time.Duration(relays) * discTurn
-	answer := discAnswer + min(all/4, discQueue)
-	return &Watch{agent: agent{addr: addr}, log: log, client: newPlainClient(4, answer), answer: answer,
-		silence: discSilence, news: news, random: rand.Float64, all: all}
+// NewWatch makes the watch of one relay of so many; onList hears of the whole
+// list and of each change, in order. Where many relays call at once an answer
+// waits for those before it: a relay that hangs up meanwhile and calls again
+// goes to the end of the queue and makes it longer.
+func NewWatch(addr string, relays int, log *slog.Logger, onList func(*List)) *Watch {
+	fleetServeTime := time.Duration(relays) * serveTimePerRelay
+	answerTimeout := baseAnswerTimeout + min(fleetServeTime/4, maxQueueTimeout)
+	return &Watch{
+		movableAddress: movableAddress{addr: addr},
+		log:            log,
+		client:         newHTTPClient(4, answerTimeout),
+		onList:         onList,
+		random:         rand.Float64,
+		spread:         boundedSpread,
+		fleetServeTime: fleetServeTime,
+		answerTimeout:  answerTimeout,
+		silenceTimeout: watchSilenceTimeout,
+		listLimit:      maxListBytes,
+	}
 }
 
 // Run watches until ctx ends. What is heard is passed on with no delay: the
 // grace after word of a drain counts from when discovery wrote it.
-func (d *Watch) Run(ctx context.Context) {
-	defer d.client.CloseIdleConnections()
-	rev, whole := int64(0), false
-	if d.Known.Sound() { // a watch from there costs discovery one call, and only what has changed
-		rev, whole = d.Known.Revision, true
-	}
-	first := d.first()
-	if first > discPause && d.Refused != nil {
-		d.Refused()
+func (w *Watch) Run(ctx context.Context) {
+	defer w.client.CloseIdleConnections()
+	var state listState
+	if w.Known.Sound() { // a watch from there costs discovery one call, and only what has changed
+		state = listState{revision: w.Known.Revision, known: true}
 	}
-	turn, cancel, _ := d.turn(ctx)
-	sleep(turn, first)
-	cancel()
+	w.waitToStart(ctx)
 	for ctx.Err() == nil {
-		turn, cancel, addr := d.turn(ctx)
-		var err error
-		if !whole {
-			var l *List
-			if l, err = d.fetch(turn, addr); err == nil {
-				rev, whole = l.Revision, true
-				d.news(l)
-			}
-		}
-		if whole {
-			rev, whole, err = d.watch(turn, addr, rev)
-		}
-		if turn.Err() == nil {
-			pause := d.pause(err)
-			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "pause_ms", pause.Milliseconds(), "err", err)
-			if d.away > 0 && d.Refused != nil {
-				d.Refused()
-			}
-			sleep(turn, pause)
-		}
-		if turn.Err() != nil {
-			d.away = 0 // it has moved: what turned calls away is left
-		}
-		cancel()
+		state = w.follow(ctx, state)
 	}
 }
 
-// errAway is a status by which discovery turns a call away.
-var errAway = errors.New("turned away")
-
-// first is how long a start puts off its first call. The whole fleet may be
-// starting, but whatever the agent has by now counts as told to this relay,
-// and the known list may be old.
-func (d *Watch) first() time.Duration {
-	return time.Duration(float64(min(d.all/2, discStart)) * d.random())
-}
-
-// pause is how long to wait before the next try. Discovery that turns calls
-// away has too many: those of a whole fleet, which lost it at one moment. What
-// they send together has to stay under what it serves, or its queue never
-// empties: the spread of the tries grows with the fleet, and with each in a row.
-// The first spread leaves time for word of a drain; the next make up for it.
-func (d *Watch) pause(err error) time.Duration {
-	away := errors.Is(err, errAway) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-	if !away { // silent: the agent alone is asked, and a watch puts an end to the run
-		return time.Duration(float64(discPause) * (0.5 + d.random()))
+// waitToStart puts the first call off.
+func (w *Watch) waitToStart(ctx context.Context) {
+	ctx, cancel, _ := w.beginCall(ctx)
+	defer cancel()
+	delay := w.startDelay()
+	if delay > reconnectDelay && w.Refused != nil {
+		w.Refused()
 	}
-	base := min(min(discAway+d.all, discTold)<<min(d.away, 8), discMost+2*d.all)
-	d.away++
-	return discAway/2 + time.Duration(float64(base)*d.random())
+	sleep(ctx, delay)
 }
 
-// statusError tells of an answer other than 200.
-func statusError(what string, code int) error {
-	if code == http.StatusTooManyRequests || code >= http.StatusInternalServerError {
-		return fmt.Errorf("discovery: %s: status %d: %w", what, code, errAway)
+// follow fetches the whole list if it is not known, follows its changes until
+// that fails, and waits until the next try may begin.
+func (w *Watch) follow(ctx context.Context, state listState) listState {
+	ctx, cancel, addr := w.beginCall(ctx)
+	defer cancel()
+	var err error
+	if !state.known {
+		state, err = w.fetchState(ctx, addr, state)
+	}
+	if state.known {
+		state, err = w.followChanges(ctx, addr, state)
+	}
+	if ctx.Err() == nil {
+		delay := w.retryDelay(err)
+		w.log.Warn("discovery: watch over", "revision", state.revision, "whole", state.known, "pause_ms", delay.Milliseconds(), "err", err)
+		if isRefusal(err) && w.Refused != nil {
+			w.Refused()
+		}
+		sleep(ctx, delay)
 	}
-	return fmt.Errorf("discovery: %s: status %d", what, code)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+	if ctx.Err() != nil {
+		w.recovered() // it has moved: what refused calls is left behind
 	}
+	return state
 }
 
-// fetch asks once for the whole list.
-func (d *Watch) fetch(ctx context.Context, addr string) (*List, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.answer)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+ListPath, nil)
-	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
-	}
-	resp, err := d.client.Do(req)
+// fetchState fetches the whole list and hands it on.
+func (w *Watch) fetchState(ctx context.Context, addr string, state listState) (listState, error) {
+	l, err := w.fetchList(ctx, addr)
 	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
+		return state, err
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, statusError("list", resp.StatusCode)
-	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, listMost))
-	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
-	}
-	l, err := Parse(text)
-	if err == nil && !l.Complete {
-		err = errors.New("discovery: the whole list was asked for, a part came")
-	}
-	return l, err
+	w.onList(l)
+	return listState{revision: l.Revision, known: true}, nil
 }
 
-// watch follows the changes after a version. whole tells whether the list is
-// still known up to the version that it returns; after a line that cannot be
-// read it is not, and the whole list must be had again.
-func (d *Watch) watch(ctx context.Context, addr string, from int64) (rev int64, whole bool, err error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	quiet := time.AfterFunc(max(d.silence, d.answer), func() { cancel(errors.New("silent")) })
-	defer quiet.Stop()
-	url := "http://" + addr + ListPath + "?watch=1&from=" + strconv.FormatInt(from, 10)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return from, true, fmt.Errorf("discovery: %w", err)
-	}
-	resp, err := d.client.Do(req)
-	if err != nil {
-		return from, true, fmt.Errorf("discovery: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		err := statusError("watch", resp.StatusCode)
-		return from, errors.Is(err, errAway), err // turned away, it says nothing about the list
-	}
-	d.away = 0
-	quiet.Reset(d.silence)
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 4096), listMost)
-	var text []byte // of a list that may go on in the next line: they come indented, too
-	for rev = from; lines.Scan(); {
-		quiet.Reset(d.silence)
-		text = append(text, lines.Bytes()...)
-		if len(bytes.TrimSpace(text)) == 0 {
-			text = text[:0]
-			continue
-		}
-		l, err := Parse(text)
-		if errors.Is(err, io.ErrUnexpectedEOF) && len(text) < listMost {
-			quiet.Reset(discRest)
-			continue
-		}
-		if err == nil && !l.Complete && l.Revision < rev {
-			err = fmt.Errorf("discovery: a change back from revision %d to %d", rev, l.Revision)
-		}
-		if err != nil {
-			return rev, false, err
-		}
-		text, rev = text[:0], l.Revision
-		d.news(l)
-	}
-	if err = lines.Err(); errors.Is(err, bufio.ErrTooLong) {
-		return rev, false, fmt.Errorf("discovery: %w", err)
-	}
-	if len(text) > 0 {
-		return rev, false, errors.New("discovery: a line was cut")
-	}
-	if err == nil {
-		err = io.EOF
-	}
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
-	}
-	return rev, true, fmt.Errorf("discovery: %w", err)
+// startDelay is how long a start puts off its first call. The whole fleet may be
+// starting, but whatever the agent has by now counts as told to this relay,
+// and the known list may be old.
+func (w *Watch) startDelay() time.Duration {
+	return time.Duration(float64(min(w.fleetServeTime/2, maxStartDelay)) * w.random())
 }
