Keep the start of a relay with a long log from growing with the square of its queues

A start with a list of 31,000 members and a log with 100,000 messages owed, spread over all destinations, answered PING in time but said yes to readyz only after 15.6 s (discovery serves), 20.9 s (silent) and 18.4 s (refuses), one processor, on a busy machine.

A profile of the first 14 s had 80% of the time in slices.Contains of dispatch: each destination that is looked at was searched for among all that wait for a slot. A destination now knows whether it stands there. No decision changes: the order in which they stand is the same.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -876,6 +876,7 @@
 func (p *Policy) dispatch() {
 	if p.calls < p.set.Slots { // what waited for a slot is chosen anew
 		for _, d := range p.ready {
+			d.waits = false
 			p.touch(d)
 		}
 		p.ready = p.ready[:0]
@@ -883,7 +884,8 @@
 	for _, d := range p.touched {
 		d.touched = false
 		p.best(d)
-		if d.pick != nil && !slices.Contains(p.ready, d) {
+		if d.pick != nil && !d.waits {
+			d.waits = true
 			p.ready = append(p.ready, d)
 		}
 	}
@@ -898,6 +900,7 @@
 		d := p.ready[at]
 		p.call(d)
 		if p.best(d); d.pick == nil {
+			d.waits = false
 			p.ready = slices.Delete(p.ready, at, at+1)
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -44,6 +44,7 @@
 	queue   []*message
 	flying  int
 	touched bool
+	waits   bool // is in Policy.ready
 	wakeAt  Time // next moment in wakes
 	clearAt Time // when what waits there will have gone, as last looked at
 	pick    *message
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -256,13 +256,19 @@
 
 // spawn starts a relay in a process of its own and does not wait for it.
 func spawn(t *testing.T, env map[string]string) *child {
+	t.Helper()
+	return spawnTo(t, env, testWriter{t})
+}
+
+// spawnTo is the same with the relay's own log going to w.
+func spawnTo(t *testing.T, env map[string]string, w io.Writer) *child {
 	t.Helper()
 	c := &child{cmd: exec.Command(os.Args[0]), env: env}
 	c.cmd.Env = append(os.Environ(), childEnv+"=1")
 	for k, v := range env {
 		c.cmd.Env = append(c.cmd.Env, k+"="+v)
 	}
-	c.cmd.Stderr = testWriter{t}
+	c.cmd.Stderr = w
 	if err := c.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/relay/ready_test.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"troutusher/internal/discovery"
+	"troutusher/internal/discovery/discoverytest"
+	"troutusher/internal/loopback"
+	"troutusher/internal/wal"
+)
+
+// readyIn is how long a restarted process may take until it can be used, where the day does not end sooner.
+const readyIn = 10 * time.Second
+
+// largeList is a list of so many members, one for each destination, all at one address.
+func largeList(members int, hostPort string) *discovery.List {
+	l := &discovery.List{Revision: 1, Complete: true}
+	for i := range members {
+		l.Members = append(l.Members, discovery.Member{ID: fmt.Sprintf("s-%06d", i), HostPort: hostPort, Locality: "a",
+			Flavor: "k", Cell: i, Phase: discovery.Up, Size: 20})
+	}
+	return l
+}
+
+// owe writes a log in which so many messages are owed, spread over the first dests destinations.
+func owe(t *testing.T, dir string, limit int64, messages, dests int) {
+	t.Helper()
+	w, err := wal.Open(wal.Options{Dir: dir, Limit: limit, Log: quietLog()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, booked := make(chan struct{}), make(chan error, 1)
+	go w.Run(stop)
+	body := []byte(strings.Repeat("b", 100))
+	late := time.Now().Add(time.Hour).UnixMicro()
+	for i := range messages {
+		then := func(err error) {
+			if err != nil || i == messages-1 {
+				select {
+				case booked <- err:
+				default:
+				}
+			}
+		}
+		w.Submit(&wal.Record{Kind: wal.Taken, ID: fmt.Sprintf("%016x", i), Class: "plain", Tenant: "acme", Dest: i % dests,
+			Deadline: late, Body: body}, then)
+	}
+	if err := <-booked; err != nil {
+		t.Fatal(err)
+	}
+	close(stop)
+	<-w.Done()
+}
+
+// largeConfig is a configuration of a relay that knows such a list and may hold that many messages.
+func largeConfig(t *testing.T, d *discoverytest.Server, known *discovery.List, diskMB, held int) map[string]string {
+	t.Helper()
+	env := testConfig(t, d, diskMB)
+	text, err := json.Marshal(known)
+	if err != nil {
+		t.Fatal(err)
+	}
+	editConfig(t, env, `"surplus":1,`, `"known":`+string(text)+`,`)
+	editConfig(t, env, `"most_held":100`, `"most_held":`+strconv.Itoa(held))
+	env["ROUTER_OPERATOR"] = loopback.Free()
+	return env
+}
+
+// pong reports whether a relay answers PING on a new connection.
+func (c *child) pong() bool {
+	conn, err := net.Dial("tcp", c.env["ROUTER_LISTEN"])
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(time.Second))
+	io.WriteString(conn, "*1\r\n$4\r\nPING\r\n")
+	s, _ := bufio.NewReader(conn).ReadString('\n')
+	return s == "+PONG\r\n"
+}
+
+// Guards a restart at the target's size: a whole list of its members, a log full of what is owed, and discovery that
+// serves, is silent or refuses. The relay is used once it answers PING, and says that it is ready to its operators.
+func TestReadyInTime(t *testing.T) {
+	owed := 100000
+	if s := os.Getenv("TROUTUSHER_READY_OWED"); s != "" { // for a measurement
+		owed, _ = strconv.Atoi(s)
+	}
+	const members = 31000
+	gone := loopback.Free()
+	diskMB := 64 + owed/1000
+	for _, how := range []string{"serves", "silent", "refuses"} {
+		t.Run(how, func(t *testing.T) {
+			list := largeList(members, gone)
+			disc := discoverytest.New(t)
+			disc.Set(func(d *discoverytest.Server) { d.List, d.Silent = *list, how == "silent" })
+			env := largeConfig(t, disc, list, diskMB, 2*owed)
+			if how == "refuses" {
+				disc.Listener.Close()
+			}
+			owe(t, env["ROUTER_STATE"], int64(diskMB)<<20, owed, members)
+			env["GOMAXPROCS"] = "1"
+			began := time.Now()
+			c := spawnTo(t, env, io.Discard)
+			var pong, ready time.Duration
+			waitFor(t, "readiness", func() bool {
+				if pong == 0 && c.pong() {
+					pong = time.Since(began)
+				}
+				if ready == 0 && pong > 0 && c.says(true) {
+					ready = time.Since(began)
+				}
+				return ready > 0
+			})
+			unread := c.figure(t, "app_log_unread")
+			t.Logf("%d members, %d owed, discovery %s: PONG after %v, readyz after %v", members, owed, how, pong, ready)
+			if pong > readyIn || ready > readyIn {
+				t.Errorf("PONG after %v, readyz after %v; at most %v", pong, ready, readyIn)
+			}
+			if unread != 0 {
+				t.Errorf("said to be ready with %d messages to be read", unread)
+			}
+			if n := c.figure(t, "app_members"); n != members {
+				t.Errorf("%d members, want %d", n, members)
+			}
+		})
+	}
+}
