Keep the cost of a failed call and of a full relay from growing with the list

The lowest limit of each kind is kept up by the reports, and looked for anew only where the lane that had it reported a higher one or is gone. A full relay works out the moment for those destinations alone that hold messages. No decision changes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -51,6 +51,7 @@
 	p := &Policy{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), eps: map[Endpoint]*endpoint{},
 		msgs: map[uint32]*message{}, lines: map[uint64]*line{}, tenants: make([]bucket, len(s.Tenants))}
 	p.tight = make([]float64, max(len(s.Kinds), 1))
+	p.leastLimits = make([]leastLimit, max(len(s.Kinds), 1))
 	p.set.Classes = slices.Clone(s.Classes)
 	p.set.Streams = max(s.Streams, 1)
 	p.set.Tick = max(s.Tick, second/1000)
@@ -143,6 +144,7 @@
 	}
 	l.eps = slices.DeleteFunc(l.eps, func(x *endpoint) bool { return x == ep })
 	if l.dest.kind.Apart {
+		p.leastLimits[l.dest.kindAt].stale = true
 		l.dest.lanes = slices.DeleteFunc(l.dest.lanes, func(x *lane) bool { return x == l })
 	}
 }
@@ -150,6 +152,9 @@
 func (p *Policy) join(x *Entry) *endpoint {
 	d := p.dest(x.Dest)
 	if x.Kind >= 0 && x.Kind < len(p.set.Kinds) {
+		if d.kindAt != x.Kind && len(d.lanes) > 0 {
+			p.leastLimits[d.kindAt].stale, p.leastLimits[x.Kind].stale = true, true
+		}
 		d.kind, d.kindAt = p.set.Kinds[x.Kind], x.Kind
 	}
 	d.kind.Batch = max(d.kind.Batch, 1)
@@ -253,15 +258,10 @@
 	for p.set.MaxHeld > 0 && len(p.live) > p.set.MaxHeld-max(1, p.set.MaxHeld/heldReserve) {
 		var least *message
 		low := math.Inf(1)
-		for _, d := range p.dests { // the same for all that wait there
-			if d.clearAt = p.opens(d); d.clearAt == math.MaxInt64 { // an answer, not the time, lets it go
-				d.clearAt = p.now
-			}
-			d.clearAt += p.drain(d)
-		}
+		p.shedLooks++
 		for _, m := range p.live {
 			if p.refusable(m) && !m.kept {
-				if v := p.value(m, min(m.dest.clearAt, m.deadline)); v < low {
+				if v := p.value(m, min(p.clear(m.dest), m.deadline)); v < low {
 					least, low = m, v
 				}
 			}
@@ -273,6 +273,18 @@
 	}
 }
 
+// clear is when what waits at a destination will have gone, worked out once in a look.
+func (p *Policy) clear(d *dest) Time {
+	if d.clearIn != p.shedLooks {
+		d.clearIn = p.shedLooks
+		if d.clearAt = p.opens(d); d.clearAt == math.MaxInt64 { // an answer, not the time, lets it go
+			d.clearAt = p.now
+		}
+		d.clearAt += p.drain(d)
+	}
+	return d.clearAt
+}
+
 // ---- settle
 
 // refusable: only what cannot have run, or may run again, may be handed back.
@@ -443,6 +455,9 @@
 func (p *Policy) observe(c *call, e *Event) {
 	ep, l := c.ep, c.ep.lane
 	if e.Load.Limit > 0 {
+		if slices.Contains(l.dest.lanes, l) {
+			p.leastLimits[l.dest.kindAt].reported(l.limit, e.Load.Limit)
+		}
 		l.limit = e.Load.Limit
 	}
 	if t := &p.tight[l.dest.kindAt]; e.Outcome == NoConnect || p.noRoom(e) {
@@ -727,15 +742,18 @@
 // leastLimit is the lowest limit that destinations of one kind have reported: the guess, on the safe side,
 // for one that this relay has not heard from. Each of a large fleet calls most of them seldom.
 func (p *Policy) leastLimit(of *dest) float64 {
-	least := 0.0
-	for _, d := range p.dests {
-		for _, l := range d.lanes {
-			if d.kindAt == of.kindAt && l.limit > 0 && (least == 0 || l.limit < least) {
-				least = l.limit
+	least := &p.leastLimits[of.kindAt]
+	if least.stale {
+		*least = leastLimit{}
+		for _, d := range p.dests {
+			for _, l := range d.lanes {
+				if d.kindAt == of.kindAt {
+					least.lower(l.limit)
+				}
 			}
 		}
 	}
-	return least
+	return least.limit
 }
 
 // growth is a rest to the age of a run of failures: less where few relays send there much each.
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -106,6 +106,7 @@
 			continue
 		}
 		l.window, l.limit, l.boost = x.Window, x.Limit, x.Boost
+		p.leastLimits[l.dest.kindAt].stale = true
 		if l.nominal == 0 { // else the list tells
 			l.nominal = x.Nominal
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -10,29 +10,31 @@
 
 // Policy decides for one relay.
 type Policy struct {
-	set      Settings
-	rng      *rand.Rand
-	now      Time
-	out      []Action
-	dests    []*dest // by number
-	eps      map[Endpoint]*endpoint
-	msgs     map[uint32]*message
-	live     []*message // not yet ended
-	lines    map[uint64]*line
-	later    agenda[func()] // what is put off
-	touched  []*dest        // to be looked at in this turn
-	ready    []*dest        // wait for nothing but a slot
-	tenants  []bucket
-	calls    int
-	lastCall uint32
-	aloft    int // messages not ended with an attempt out
-	armed    Time
-	asked    Time
-	tight    []float64 // share of calls that found no connection, by kind of destination
-	lat      latency   // of all answers
-	silent   float64   // share of calls that ended with no answer
-	pressed  Time      // since when messages wait and every slot is taken; 0 for not
-	drained  Time      // since when the operators have it emptied; 0 for not
+	set         Settings
+	rng         *rand.Rand
+	now         Time
+	out         []Action
+	dests       []*dest // by number
+	eps         map[Endpoint]*endpoint
+	msgs        map[uint32]*message
+	live        []*message // not yet ended
+	lines       map[uint64]*line
+	later       agenda[func()] // what is put off
+	touched     []*dest        // to be looked at in this turn
+	ready       []*dest        // wait for nothing but a slot
+	tenants     []bucket
+	calls       int
+	lastCall    uint32
+	aloft       int // messages not ended with an attempt out
+	shedLooks   int // looks for the message that is worth least
+	armed       Time
+	asked       Time
+	tight       []float64    // share of calls that found no connection, by kind of destination
+	leastLimits []leastLimit // by kind of destination
+	lat         latency      // of all answers
+	silent      float64      // share of calls that ended with no answer
+	pressed     Time         // since when messages wait and every slot is taken; 0 for not
+	drained     Time         // since when the operators have it emptied; 0 for not
 }
 
 // dest is a destination: a queue, and a lane for each thing that limits it.
@@ -47,6 +49,7 @@
 	waits   bool // is in Policy.ready
 	wakeAt  Time // next moment in wakes
 	clearAt Time // when what waits there will have gone, as last looked at
+	clearIn int  // the look in which that was, of Policy.shedLooks
 	pick    *message
 	pickAt  *endpoint
 	pickVal float64
@@ -72,6 +75,25 @@
 	lat        latency
 }
 
+// leastLimit is the lowest limit that any lane of a kind has reported; 0 for none. It is kept up by reports,
+// so that its cost does not grow with the list, and stale where the lane that had it reported a higher one or is gone.
+type leastLimit struct {
+	limit float64
+	stale bool
+}
+
+// reported takes in that a lane which reported one limit before reports another.
+func (x *leastLimit) reported(before, limit float64) {
+	x.stale = x.stale || before == x.limit && limit > before
+	x.lower(limit)
+}
+
+func (x *leastLimit) lower(limit float64) {
+	if limit > 0 && (x.limit == 0 || limit < x.limit) {
+		x.limit = limit
+	}
+}
+
 // endpoint is one address, with what this relay saw of its health.
 type endpoint struct {
 	id        Endpoint
