--- /dev/null
+++ b/decide/least_test.go
@@ -0,0 +1,67 @@
+package decide
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// walkedLeastLimit is the lowest reported limit as a walk over all lanes finds it.
+func walkedLeastLimit(p *Policy, kindAt int) (least float64) {
+	for _, d := range p.dests {
+		for _, l := range d.lanes {
+			if d.kindAt == kindAt && l.limit > 0 && (least == 0 || l.limit < least) {
+				least = l.limit
+			}
+		}
+	}
+	return least
+}
+
+// Guards the lowest limit that is kept up by reports, against lists that change
+// under it: endpoints that come, leave and move, destinations that change their
+// kind, reports from endpoints that have left, limits that rise and fall.
+func TestLeastLimitKeptUp(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		s := one()
+		s.Kinds = []Kind{{Batch: 1}, {Batch: 2, Apart: true}}
+		s.Slots, s.MaxHeld = 64, 0
+		r := newSeededRig(t, s, seed)
+		var out []Action // sends that are not answered
+		for range 300 {
+			var events []Event
+			switch rng.IntN(4) {
+			case 0:
+				dest := rng.IntN(6)
+				x := Entry{Endpoint: Endpoint(1 + rng.IntN(12)), Dest: dest, Kind: dest % 2, State: Readiness(rng.IntN(3))}
+				if rng.IntN(10) == 0 {
+					x.Kind = rng.IntN(2)
+				}
+				events = append(events, Event{Kind: EvList, List: ListChange, Entries: []Entry{x}})
+			case 1:
+				r.next++
+				events = append(events, Event{Kind: EvMessage, Message: r.next, Dest: rng.IntN(6), Left: 10 * second, Tenant: -1})
+			default:
+				if len(out) == 0 {
+					break
+				}
+				at := rng.IntN(len(out))
+				send := out[at]
+				out[at] = out[len(out)-1]
+				out = out[:len(out)-1]
+				if m := r.p.msgs[send.Message]; m != nil && m.call != nil {
+					events = append(events, Event{Kind: EvOutcome, Message: send.Message, Attempt: m.tries - 1, Endpoint: send.Endpoint,
+						Outcome: []Outcome{Delivered, Full, Errored}[rng.IntN(3)], Took: 1000, Load: Load{Told: true, Limit: float64(rng.IntN(4))}})
+				}
+			}
+			r.now += Time(rng.IntN(200_000))
+			r.step(events...)
+			out = append(out, r.sends...)
+			for kindAt := range s.Kinds {
+				if got, want := r.p.leastLimit(&dest{kindAt: kindAt}), walkedLeastLimit(r.p, kindAt); got != want {
+					t.Fatalf("seed %d: the lowest limit of kind %d is held to be %v, and is %v", seed, kindAt, got, want)
+				}
+			}
+		}
+	}
+}
