--- a/internal/discovery/outage_test.go
+++ b/internal/discovery/outage_test.go
@@ -404,3 +404,52 @@
 		})
 	}
 }
+
+// Guards word after a move, which counts 4 s later: discovery at the new
+// address turns some calls away, after the old one has refused many in a row.
+func TestWordAfterMove(t *testing.T) {
+	t.Parallel()
+	const relays = 30
+	ctx, cancel := context.WithCancel(t.Context())
+	old, now := bindPort(t), bindPort(t)
+	d := &limitedDiscovery{rate: 40, tokens: 4, at: time.Now(), end: ctx}
+	srv := &http.Server{Handler: d}
+	go srv.Serve(now.listen(t))
+	var watches, all sync.WaitGroup
+	var fleet []*Watch
+	told := make([]time.Time, relays)
+	refused := make(chan bool, 10*relays)
+	for i := range relays {
+		var once sync.Once
+		all.Add(1)
+		w := NewWatch(old.addr, 450, slog.New(slog.DiscardHandler), func(*List) {
+			once.Do(func() { told[i] = time.Now(); all.Done() })
+		})
+		w.Known = &List{Revision: 1, Complete: true, Members: []Member{}}
+		w.Refused = func() {
+			select {
+			case refused <- true:
+			default:
+			}
+		}
+		fleet = append(fleet, w)
+		watches.Add(1)
+		go func() { defer watches.Done(); w.Run(ctx) }()
+	}
+	defer func() { cancel(); srv.Close(); watches.Wait() }()
+	for range 4 * relays {
+		<-refused
+	}
+	moved := time.Now()
+	for _, w := range fleet {
+		w.Move(now.addr)
+	}
+	all.Wait()
+	latest := slices.MaxFunc(told, time.Time.Compare).Sub(moved)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t.Logf("the last word %v after the move, %d of %d calls turned away", latest, d.away, len(d.calls))
+	if latest > 4*time.Second || d.away == 0 {
+		t.Errorf("the last word came %v after the move, %d calls were turned away", latest, d.away)
+	}
+}
