Keep a crowd of idle clients from taking the descriptors of calls, log and discovery

Idle clients may fill the descriptors while discovery is down. A relay at its bound of client connections had the one that was idle for longest end and took the new one on at once, whatever had not closed yet. The log's next file and the watch would have met the same.

Now what is on its way out counts too: one eighth of the places is for it. A new connection waits for its descriptor, for 100 ms at most, and is shut unread where nobody makes room; one that has just come makes room for others only after 20 ms, so that its request is read. What had begun to come on one that makes room is waited for 50 ms, no longer 400: peers that begin a command and come again would hold the rest.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -31,6 +32,11 @@
 	writeWait = 2 * time.Second
 	wholeWait = 2500 * time.Millisecond // for a whole command: such peers are owed a close within 3 s
 	lateWait  = 400 * time.Millisecond  // clients themselves wait no longer for an answer
+	roomWait  = 100 * time.Millisecond  // for one that makes room for another
+	shortStay = 20 * time.Millisecond   // before a connection makes room: its request may be under way
+	shortWait = 50 * time.Millisecond   // for the rest of what had begun to come on one that makes room
+	leaving   = 8                       // one part in so many of the places is for connections on their way out
+	spare     = 4                       // and so many more
 )
 
 // errTooLong is a command that was read past: the connection is still in step.
@@ -231,9 +237,11 @@
 
 	mu      sync.Mutex
 	conns   map[*clientConn]bool
+	open    int // connections that hold a descriptor, those on their way out among them
 	closing bool
 	refused bool // PING says no
 	wg      sync.WaitGroup
+	freed   chan struct{} // holds something where a descriptor was given back since it was last looked at
 }
 
 type clientConn struct {
@@ -262,7 +270,8 @@
 
 func newClients(cfg *Config, log *slog.Logger, put func(*request), said func(*request, bool)) *clients {
 	most, _ := cfg.budget()
-	return &clients{cfg: cfg, log: log, put: put, said: said, most: most, patience: wholeWait, givenUp: lateWait, conns: map[*clientConn]bool{}}
+	return &clients{cfg: cfg, log: log, put: put, said: said, most: most, patience: wholeWait, givenUp: lateWait, conns: map[*clientConn]bool{},
+		freed: make(chan struct{}, 1)}
 }
 
 // reusePort lets the next process listen at the same address beside this one.
@@ -338,17 +347,19 @@
 	})
 }
 
-// welcome begins to talk on a new connection.
+// welcome begins to talk on a new connection. One that there is no room for is
+// shut unread.
 func (c *clients) welcome(conn net.Conn) {
+	if !c.reserve() {
+		conn.Close()
+		return
+	}
 	cc := &clientConn{Conn: conn, idle: time.Now(), by: time.Now().Add(c.patience)}
 	c.mu.Lock()
 	if c.closing { // as for those that were just opened when the closing began
 		cc.left, cc.by = true, time.Now().Add(lateWait)
 	}
 	cc.readUntil(cc.by)
-	if len(c.conns) >= c.most {
-		c.evict()
-	}
 	c.conns[cc] = true
 	c.wg.Add(1)
 	c.mu.Unlock()
@@ -359,10 +370,53 @@
 		cc.Close()
 		c.mu.Lock()
 		delete(c.conns, cc)
+		c.open--
 		c.mu.Unlock()
+		select {
+		case c.freed <- struct{}{}:
+		default:
+		}
 	}()
 }
 
+// reserve counts a new connection in, once there is a descriptor for it: where
+// all places are taken another makes room, and that takes it a moment. What comes
+// faster than others leave would else take the descriptors of calls, log and
+// discovery. It reports false where nobody makes room in time.
+func (c *clients) reserve() bool {
+	limit := time.NewTimer(roomWait)
+	defer limit.Stop()
+	for {
+		free, later := c.tryReserve()
+		if free || later == 0 {
+			return free
+		}
+		select {
+		case <-c.freed:
+		case <-time.After(later):
+		case <-limit.C:
+			return false
+		}
+	}
+}
+
+// tryReserve is one try; later is when another may fare better, 0 for never.
+func (c *clients) tryReserve() (free bool, later time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.most - c.most/leaving
+	if len(c.conns) >= kept {
+		if later = c.evict(); later == 0 && len(c.conns) >= kept && c.open <= len(c.conns) {
+			return false, 0
+		}
+	}
+	if len(c.conns) < kept && c.open < c.most+spare {
+		c.open++
+		return true, 0
+	}
+	return false, cmp.Or(later, roomWait)
+}
+
 // part ends a connection so that the peer gets all that was written to it: a
 // close over bytes that were not read resets the connection, and an answer that
 // is still under way may go with it. So the peer hears of the end first. What it
@@ -389,16 +443,25 @@
 // evict closes a connection to make room for a new one: one that has ended and
 // only waits for its peer, else the one that has been idle for longest, since
 // clients open another when they need it, else the one whose peer has begun a
-// command and has handed in nothing before. The caller holds mu.
-func (c *clients) evict() {
+// command and has handed in nothing before. One that has just come is given time
+// for its request; evict then returns how much of it is left. The caller holds mu.
+func (c *clients) evict() time.Duration {
 	var out *clientConn
+	left := time.Duration(0)
 	for cc := range c.conns {
-		if out == nil || cc.keepRank() < out.keepRank() || cc.keepRank() == out.keepRank() && cc.idle.Before(out.idle) {
+		stay := shortStay - time.Since(cc.idle)
+		switch rank := cc.keepRank(); {
+		case rank == keepAlways:
+		case stay > 0 && rank != keepEnded:
+			if left == 0 || stay < left {
+				left = stay
+			}
+		case out == nil || rank < out.keepRank() || rank == out.keepRank() && cc.idle.Before(out.idle):
 			out = cc
 		}
 	}
-	if out == nil || out.keepRank() == keepAlways {
-		return
+	if out == nil {
+		return left
 	}
 	delete(c.conns, out)
 	if out.over {
@@ -406,6 +469,7 @@
 	} else {
 		out.release()
 	}
+	return 0
 }
 
 // Ranks of connections, by how much they are worth keeping.
@@ -532,6 +596,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	late := time.Now().Add(lateWait)
+	if !c.conns[cc] { // it has made room and holds a descriptor all the same
+		late = time.Now().Add(shortWait)
+	}
 	if !cc.by.IsZero() {
 		cc.by = late
 	}
--- /dev/null
+++ b/internal/relay/crowd_test.go
@@ -0,0 +1,278 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"troutusher/internal/discovery"
+	"troutusher/internal/discovery/discoverytest"
+	"troutusher/internal/loopback"
+	"troutusher/internal/wal"
+)
+
+// gate stands before a server at an address of its own, at which connections are refused while it is shut.
+type gate struct {
+	addr, to string
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+}
+
+func newGate(t *testing.T, to string) *gate {
+	g := &gate{addr: loopback.Free(), to: to, conns: map[net.Conn]bool{}}
+	g.open(t)
+	t.Cleanup(g.shut)
+	return g
+}
+
+func (g *gate) open(t *testing.T) {
+	t.Helper()
+	listener, err := net.Listen("tcp", g.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.mu.Lock()
+	g.listener = listener
+	g.mu.Unlock()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go g.pass(conn)
+		}
+	}()
+}
+
+// pass carries one connection to the server and back.
+func (g *gate) pass(from net.Conn) {
+	defer from.Close()
+	to, err := net.Dial("tcp", g.to)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	g.mu.Lock()
+	g.conns[from], g.conns[to] = true, true
+	g.mu.Unlock()
+	go func() {
+		io.Copy(to, from)
+		to.Close()
+	}()
+	io.Copy(from, to)
+}
+
+// shut has the address refuse connections and ends those that are open.
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listener.Close()
+	for conn := range g.conns {
+		conn.Close()
+	}
+	clear(g.conns)
+}
+
+// crowd is idle clients that come again as soon as they are let go.
+type crowd struct {
+	stop  atomic.Bool
+	came  atomic.Int64 // connections made
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	wait  sync.WaitGroup
+}
+
+// newCrowd has so many clients open a connection each: some say nothing, some PING, some hand in a message and rest, some
+// begin a command.
+func newCrowd(addr string, size int) *crowd {
+	c := &crowd{conns: map[net.Conn]bool{}}
+	says := []string{"", "*1\r\n$4\r\nPING\r\n", "put", "*5\r\n$7\r\nMSG"}
+	for i := range size {
+		c.wait.Add(1)
+		go func() {
+			defer c.wait.Done()
+			for n := 0; !c.stop.Load(); n++ {
+				text := says[i%len(says)]
+				if text == "put" && n%32 > 0 { // clients rest more than they hand in
+					text = says[1]
+				} else if text == "put" {
+					text = putText(fmt.Sprintf("crowd-%d-%d", i, n), fields("plain", 20000, 7), nil)
+				}
+				c.rest(addr, text)
+			}
+		}()
+	}
+	return c
+}
+
+// rest is one connection, until the relay ends it.
+func (c *crowd) rest(addr, text string) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return
+	}
+	c.came.Add(1)
+	c.mu.Lock()
+	c.conns[conn] = true
+	c.mu.Unlock()
+	if !c.stop.Load() {
+		io.WriteString(conn, text)
+		io.Copy(io.Discard, conn)
+	}
+	conn.Close()
+	c.mu.Lock()
+	delete(c.conns, conn)
+	c.mu.Unlock()
+}
+
+func (c *crowd) end() {
+	c.stop.Store(true)
+	c.mu.Lock()
+	for conn := range c.conns {
+		conn.Close()
+	}
+	c.mu.Unlock()
+	c.wait.Wait()
+}
+
+// lockedBuffer keeps what a process logs.
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *lockedBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.String(), text)
+}
+
+// spawnLimited starts a relay that can hold so many descriptors.
+func spawnLimited(t *testing.T, env map[string]string, w io.Writer, descriptors int) *child {
+	t.Helper()
+	c := &child{cmd: exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, descriptors), os.Args[0]), env: env}
+	startProcess(t, c, w)
+	return c
+}
+
+// descriptors counts what a relay holds now.
+func (c *child) descriptors() int {
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	return len(all)
+}
+
+// logFiles names the files of a relay's log.
+func logFiles(t *testing.T, env map[string]string) string {
+	t.Helper()
+	all, err := os.ReadDir(filepath.Join(env["ROUTER_STATE"], wal.Name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, f := range all {
+		names = append(names, f.Name())
+	}
+	return strings.Join(names, " ")
+}
+
+// Guards against idle clients that take all the descriptors they can get while discovery is down: calls to endpoints go
+// on, the log grows into new files, the operators are answered, the ends are told, and the list is heard again once
+// discovery is back. What comes new may be shut unread.
+func TestCrowdWhileDiscoveryIsDown(t *testing.T) {
+	const descriptors = 96
+	ep := newFakeEndpoint(t, nil)
+	failing := newFakeEndpoint(t, status(http.StatusInternalServerError))
+	disc := discoverytest.New(t, ep.member("s-1", 7), failing.member("s-2", 2))
+	g := newGate(t, disc.Addr())
+	env := testConfig(t, disc, 3)
+	env["ROUTER_DISCOVERY"], env["ROUTER_OPERATOR"] = g.addr, loopback.Free()
+	editConfig(t, env, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, descriptors))
+	log := &lockedBuffer{}
+	c := spawnLimited(t, env, log, descriptors)
+	c.ready(t)
+	waitFor(t, "the watch", func() bool { disc.Mu.Lock(); defer disc.Mu.Unlock(); return len(disc.Froms) == 1 })
+	g.shut()
+	cr := newCrowd(c.env["ROUTER_LISTEN"], 3*descriptors)
+	defer cr.end()
+	most := atomic.Int64{}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Millisecond):
+				most.Store(max(most.Load(), int64(c.descriptors())))
+			}
+		}
+	}()
+	waitFor(t, "the crowd", func() bool { return cr.came.Load() > 10*descriptors })
+	began := logFiles(t, env)
+	body := bytes.Repeat([]byte("b"), 32<<10)
+	taken, tries := 0, 0
+	handIn := func(id, fields string) bool { // as a client does: what is shut unread comes again
+		conn, err := net.Dial("tcp", c.env["ROUTER_LISTEN"])
+		if err != nil {
+			return false
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(time.Second))
+		io.WriteString(conn, putText(id, fields, body))
+		reply := make([]byte, 3)
+		io.ReadFull(conn, reply)
+		return string(reply) == "+OK"
+	}
+	for taken < 60 { // two megabytes: the log goes on into new files
+		id := fmt.Sprintf("m%d", taken)
+		f := fields("plain", 20000, 7)
+		if taken == 30 {
+			id, f = "failed", fields("once", 20000, 2)
+		}
+		waitFor(t, id+" is taken on", func() bool { tries++; return handIn(id, f) })
+		taken++
+		if id != "failed" {
+			waitFor(t, "the call of "+id, func() bool { return ep.count(id) >= 1 })
+		}
+	}
+	waitFor(t, "a new file of the log", func() bool { return logFiles(t, env) != began })
+	waitFor(t, "the operators' answer", func() bool { return c.says(true) })
+	disc.Mu.Lock()
+	before := len(disc.Froms)
+	disc.Mu.Unlock()
+	_, early := disc.Notice("failed")
+	g.open(t)
+	back := time.Now()
+	waitFor(t, "the watch", func() bool { disc.Mu.Lock(); defer disc.Mu.Unlock(); return len(disc.Froms) > before })
+	heard := time.Since(back)
+	waitFor(t, "the notice", func() bool { n, ok := disc.Notice("failed"); return ok && n.Outcome == discovery.GivenUp })
+	t.Logf("%d connections came, %d of %d tries taken on, up to %d descriptors of %d; heard after %v, told after %v",
+		cr.came.Load(), taken, tries, most.Load(), descriptors, heard, time.Since(back))
+	if early {
+		t.Error("the notice was taken while discovery was down: nothing is tested")
+	}
+	if n := log.count("too many open files"); n > 0 {
+		t.Errorf("out of descriptors %d times", n)
+	}
+}
