Measure slopes of list reading and the policy: troutlab bench scale

Plans for 450 relays, 31,000 destinations and 1.93 million messages a relay need what each role costs as a slope, not as one figure at one size.

First jobs: reading a list, the policy taking one, its queues, held messages and shedding.

--- /dev/null
+++ b/internal/lab/capacity/fit_test.go
@@ -0,0 +1,76 @@
+package capacity
+
+import (
+	"math"
+	"testing"
+)
+
+// measured makes a measurement of a function, with one play for each factor.
+func measured(f func(size float64) float64, factors ...float64) *Measurement {
+	m := &Measurement{Job: "test", Quantity: Quantity{Name: "cost", Target: 100_000, Budget: 1000}, Sizes: []float64{100, 1000, 10_000, 31_000}}
+	for _, size := range m.Sizes {
+		var plays []float64
+		for _, factor := range factors {
+			plays = append(plays, factor*f(size))
+		}
+		m.Values = append(m.Values, plays)
+	}
+	m.fit()
+	return m
+}
+
+func near(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if math.Abs(got-want) > 1e-6*max(1, math.Abs(want)) {
+		t.Errorf("%s: %v, want %v", what, got, want)
+	}
+}
+
+// A straight line gives its own slope and base, and the spread of its plays.
+func TestFitLine(t *testing.T) {
+	m := measured(func(size float64) float64 { return 0.02 * size }, 1, 0.5, 1.5)
+	near(t, "slope", m.Slope, 0.02)
+	near(t, "least slope", m.SlopeMin, 0.01)
+	near(t, "largest slope", m.SlopeMax, 0.03)
+	near(t, "exponent", m.Exponent, 1)
+	near(t, "at the target", m.AtTarget, 2000)
+	near(t, "ratio", m.Ratio, 2)
+	base := measured(func(size float64) float64 { return 50 + 0.02*size }, 1)
+	near(t, "base", base.Intercept, 50)
+	near(t, "with its base", base.WithBase, 2050)
+	if base.Exponent > 0.9 {
+		t.Errorf("a line with a base has exponent %v", base.Exponent)
+	}
+	if err := m.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A curve shows by its exponent, and the power law leads where the line does not.
+func TestFitCurve(t *testing.T) {
+	for _, exponent := range []float64{0.5, 2} {
+		m := measured(func(size float64) float64 { return 3 * math.Pow(size, exponent) }, 1)
+		near(t, "exponent", m.Exponent, exponent)
+		near(t, "exponent at the top", m.TopGrowth, exponent)
+		near(t, "by the power law", m.ByPower, 3*math.Pow(m.Target, exponent))
+	}
+}
+
+// What cannot be a measurement is told.
+func TestCheck(t *testing.T) {
+	line := func(size float64) float64 { return size }
+	for name, spoil := range map[string]func(*Measurement){
+		"not a number": func(m *Measurement) { m.Values[1][0] = math.NaN() },
+		"no end":       func(m *Measurement) { m.Values[1][0] = math.Inf(1) },
+		"negative":     func(m *Measurement) { m.Values[1][0] = -1 },
+		"no play":      func(m *Measurement) { m.Values[1] = nil },
+		"one size":     func(m *Measurement) { m.Sizes, m.Values = m.Sizes[:1], m.Values[:1] },
+		"exponent":     func(m *Measurement) { m.Exponent = 5 },
+		"slope":        func(m *Measurement) { m.Slope = math.NaN() },
+	} {
+		m := measured(line, 1)
+		if spoil(m); m.Check() == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/list.go
@@ -0,0 +1,81 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"troutusher/internal/discovery"
+)
+
+// Figures of the target.
+const (
+	targetMembers = 31_000
+	targetRelays  = 450
+	targetZones   = 8
+	targetHeld    = 1_930_000 // messages that a relay owes after a long outage
+	budgetMemory  = 256       // MB of a relay's control
+	budgetCore    = 3.4       // % of a core
+	budgetBytes   = 30        // KB a second
+)
+
+const (
+	shortID = 10 // letters of a member's id
+	longID  = 34
+)
+
+var (
+	memberSizes = []int{310, 1000, 3100, 10_000, 31_000}
+	smokeSizes  = []int{31, 310}
+)
+
+// memberList makes a whole list of so many members, each the only endpoint of
+// its destination, with ids of so many letters.
+func memberList(size, letters int) *discovery.List {
+	l := &discovery.List{Revision: int64(size), Complete: true, Members: make([]discovery.Member, size)}
+	for i := range l.Members {
+		l.Members[i] = member(i, letters)
+	}
+	return l
+}
+
+func member(i, letters int) discovery.Member {
+	return discovery.Member{ID: fmt.Sprintf("s-%0*d", letters-2, i), HostPort: fmt.Sprintf("10.%d.%d.%d:6379", i>>16&255, i>>8&255, i&255),
+		Locality: fmt.Sprintf("z-%d", i%targetZones), Flavor: "agent", Cell: i, Phase: discovery.Up, Size: 1}
+}
+
+func listJobs() []job {
+	of := func(name string, letters int) job {
+		quantity := func(what, unit string) Quantity {
+			return Quantity{Role: "relay", Name: fmt.Sprintf("%s, ids of %d letters", what, letters), Unit: unit, SizeUnit: "members", Target: targetMembers}
+		}
+		return job{name: name, sizes: memberSizes, smoke: smokeSizes,
+			quantities: []Quantity{quantity("reading a whole list", "ms"), quantity("allocated to read it", "MB"), quantity("allocations to read it", "thousand"), quantity("bytes of it", "KB")},
+			run:        func(_ context.Context, _ *environment, size int) ([]float64, error) { return parseList(size, letters) }}
+	}
+	return []job{of("parse", shortID), of("parse-long", longID)}
+}
+
+func parseList(size, letters int) ([]float64, error) {
+	text, err := json.Marshal(memberList(size, letters))
+	if err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	rounds := max(3, 20_000/size)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	began := time.Now()
+	for range rounds {
+		if _, err := discovery.Parse(text); err != nil {
+			return nil, err
+		}
+	}
+	took := time.Since(began)
+	runtime.ReadMemStats(&after)
+	each := float64(rounds)
+	return []float64{took.Seconds() * 1e3 / each, float64(after.TotalAlloc-before.TotalAlloc) / 1e6 / each,
+		float64(after.Mallocs-before.Mallocs) / 1e3 / each, float64(len(text)) / 1e3}, nil
+}
--- /dev/null
+++ b/internal/lab/capacity/policy.go
@@ -0,0 +1,185 @@
+package capacity
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"runtime"
+	"time"
+
+	"troutusher/decide"
+	"troutusher/internal/lab/model"
+	"troutusher/internal/settings"
+	"troutusher/internal/wire"
+)
+
+const (
+	policySlots  = 100
+	policyWait   = decide.Time(3600e6) // of a destination that told the relay to wait
+	policyMoment = decide.Time(10_000) // between steps: a call a step, by the policy's own pace
+	safeClass    = 0
+	unsafeClass  = 1
+	classTime    = 100 * policyWait // so that nothing runs out of time while it is measured
+)
+
+// relaySettings are a relay's at the target, as its configuration holds them.
+func relaySettings(slots, held int) map[string]any {
+	var zones []string
+	for i := range targetZones {
+		zones = append(zones, fmt.Sprintf("z-%d", i))
+	}
+	s := model.Settings(model.Fleet{Relays: targetRelays, Slots: slots, Held: held, Zones: zones, Batch: 5}, model.StandardRules())
+	for _, c := range s["classes"].([]map[string]any) {
+		c["deadline_us"] = classTime
+	}
+	return s
+}
+
+func policySettings(held int) (decide.Settings, error) {
+	text, err := json.Marshal(relaySettings(policySlots, 340))
+	if err != nil {
+		return decide.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	s, err := wire.ParseSettings(text)
+	if err != nil {
+		return decide.Settings{}, err
+	}
+	d, err := settings.Policy(s)
+	d.MaxHeld, d.Streams = held, 1
+	return d, err
+}
+
+// flight is an attempt that a policy has out.
+type flight struct {
+	message  uint32
+	attempt  int
+	endpoint decide.Endpoint
+}
+
+// driver is the relay round a policy, as far as the policy can tell: it hands in
+// messages and ends attempts at moments of its own clock.
+type driver struct {
+	policy  *decide.Policy
+	now     decide.Time
+	actions []decide.Action
+	out     []flight
+	tries   map[uint32]int
+	last    uint32
+	ended   int // messages that the policy refused or gave up
+}
+
+// newDriver makes a policy that has a list of so many destinations.
+func newDriver(destinations, held int) (*driver, error) {
+	s, err := policySettings(held)
+	if err != nil {
+		return nil, err
+	}
+	p, err := decide.New(s, 1)
+	if err != nil {
+		return nil, err
+	}
+	d := &driver{policy: p, now: policyWait, tries: map[uint32]int{}}
+	d.step(decide.Event{Kind: decide.EvList, List: decide.ListFull, Entries: entries(destinations)})
+	return d, nil
+}
+
+func entries(destinations int) []decide.Entry {
+	all := make([]decide.Entry, destinations)
+	for i := range all {
+		all[i] = entry(i, decide.Ready)
+	}
+	return all
+}
+
+// entry is the only endpoint of a destination; its number is one above it.
+func entry(destination int, state decide.Readiness) decide.Entry {
+	return decide.Entry{Endpoint: decide.Endpoint(destination + 1), Zone: destination % targetZones, Kind: 1, Dest: destination, State: state, Rate: 1}
+}
+
+// step has the policy take events, and gives how long that took.
+func (d *driver) step(events ...decide.Event) time.Duration {
+	began := time.Now()
+	d.actions = d.policy.Step(d.now, events, d.actions[:0])
+	took := time.Since(began)
+	for i := range d.actions {
+		switch a := &d.actions[i]; a.Kind {
+		case decide.ActSend:
+			d.out = append(d.out, flight{a.Message, d.tries[a.Message], a.Endpoint})
+			d.tries[a.Message]++
+		case decide.ActRefuse, decide.ActFail:
+			d.ended++
+			delete(d.tries, a.Message)
+		}
+	}
+	return took
+}
+
+// message is a new one for a destination.
+func (d *driver) message(destination, class int) decide.Event {
+	d.last++
+	return decide.Event{Kind: decide.EvMessage, Message: d.last, Class: class, Dest: destination, Tenant: -1, Left: classTime}
+}
+
+// outcome ends the oldest attempt that is out.
+func (d *driver) outcome(o decide.Outcome, wait decide.Time) (decide.Event, error) {
+	if len(d.out) == 0 {
+		return decide.Event{}, errors.New("policy: no attempt is out")
+	}
+	f := d.out[0]
+	d.out = d.out[1:]
+	if o == decide.Delivered {
+		delete(d.tries, f.message)
+	}
+	return decide.Event{Kind: decide.EvOutcome, Message: f.message, Attempt: f.attempt, Endpoint: f.endpoint, Outcome: o, Wait: wait,
+		Took: 200_000, Settled: o == decide.Delivered}, nil
+}
+
+// shut has a destination tell the relay to wait for longer than is measured; the
+// message for it waits there.
+func (d *driver) shut(destination int) error {
+	d.step(d.message(destination, safeClass))
+	e, err := d.outcome(decide.Full, policyWait)
+	if err != nil {
+		return fmt.Errorf("destination %d: %w", destination, err)
+	}
+	d.step(e)
+	return nil
+}
+
+// waitForCall lets time go by until an attempt is out, and gives what the policy
+// took meanwhile.
+func (d *driver) waitForCall() (took time.Duration, err error) {
+	for range 10_000 {
+		if len(d.out) > 0 {
+			return took, nil
+		}
+		d.now += policyMoment
+		took += d.step(decide.Event{Kind: decide.EvTimer})
+	}
+	return took, errors.New("policy: nothing is sent")
+}
+
+// deliver has the oldest attempt that is out answered, once there is one.
+func (d *driver) deliver() (time.Duration, error) {
+	took, err := d.waitForCall()
+	if err != nil {
+		return took, err
+	}
+	d.now += policyMoment
+	e, err := d.outcome(decide.Delivered, 0)
+	if err != nil {
+		return took, err
+	}
+	return took + d.step(e), nil
+}
+
+// heapBytes is what the program's heap holds after a collection.
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// micros gives the mean of n spans that came to a sum, in microseconds.
+func micros(sum time.Duration, n int) float64 { return sum.Seconds() * 1e6 / float64(n) }
--- /dev/null
+++ b/internal/lab/capacity/policy_jobs.go
@@ -0,0 +1,277 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"runtime"
+	"time"
+
+	"troutusher/decide"
+)
+
+const (
+	destinationsDown = 589
+	destinationsUp   = 200 // beside those that are down
+)
+
+var errNotFull = errors.New("policy: holds all it may and ends nothing")
+
+func policyJobs() []job {
+	queueSizes, queueSmoke := []int{100, 330, 1000, 3300, 10_000}, []int{30, 100}
+	quantity := func(name, unit, sizeUnit string, target float64) Quantity {
+		return Quantity{Role: "relay", Name: name, Unit: unit, SizeUnit: sizeUnit, Target: target}
+	}
+	const queued, held, list = "messages in one queue", "messages held", "members"
+	longest := float64(targetHeld) / destinationsDown // in one queue, where all wait for destinations that are down
+	memory := quantity("policy's memory of the list", "MB", list, targetMembers)
+	memory.Budget = budgetMemory
+	heldMemory := quantity("policy's memory of held messages, without bodies", "MB", held, targetHeld)
+	heldMemory.Budget = budgetMemory
+	return []job{
+		{name: "policy-list", sizes: memberSizes, smoke: smokeSizes, run: policyList, quantities: []Quantity{
+			quantity("a whole list, one step", "ms", list, targetMembers), memory,
+			quantity("the same list again", "ms", list, targetMembers),
+			quantity("a change of one member", "us", list, targetMembers),
+			quantity("a delivery at a destination that told its limit", "us", list, targetMembers),
+			quantity("a delivery at a destination that told none", "us", list, targetMembers),
+			quantity("a failed trial call of one that is down", "us", list, targetMembers)}},
+		{name: "queue", sizes: queueSizes, smoke: queueSmoke, run: queueUp, quantities: []Quantity{
+			quantity("an outcome", "us", queued, longest), quantity("a message handed in", "us", queued, longest),
+			quantity("working the whole queue off", "ms", queued, longest)}},
+		{name: "queue-down", sizes: queueSizes, smoke: queueSmoke, run: queueDown, quantities: []Quantity{
+			quantity("a message handed in for a destination that is down", "us", queued, longest)}},
+		{name: "held", sizes: []int{1000, 10_000, 100_000, 300_000, 1_000_000}, smoke: []int{1000, 5000}, run: heldMessages, quantities: []Quantity{
+			heldMemory, quantity("a delivery, safe class", "us", held, targetHeld), quantity("a delivery, unsafe class", "us", held, targetHeld),
+			quantity("an outcome, unsafe class, all slots taken", "us", held, targetHeld)}},
+		{name: "shed", sizes: []int{1000, 3300, 10_000, 33_000, 100_000}, smoke: []int{1000, 3000}, quantities: []Quantity{
+			quantity("a message handed in when full", "us", "messages held at most", targetHeld)},
+			run: func(_ context.Context, e *environment, size int) ([]float64, error) {
+				return shed(size, destinationsDown+destinationsUp)
+			}},
+		{name: "shed-list", sizes: memberSizes, smoke: []int{1000, 3000}, quantities: []Quantity{
+			quantity("a message handed in when 10,000 fill it", "us", list, targetMembers)},
+			run: func(_ context.Context, e *environment, size int) ([]float64, error) {
+				return shed(scaled(e, 500, 10_000), size)
+			}},
+	}
+}
+
+// policyList times a whole list in one step, the same again, a change of one
+// member, a delivery, and trial calls of a destination that is down.
+func policyList(_ context.Context, _ *environment, size int) ([]float64, error) {
+	s, err := policySettings(0)
+	if err != nil {
+		return nil, err
+	}
+	all := entries(size)
+	before := heapBytes()
+	p, err := decide.New(s, 1)
+	if err != nil {
+		return nil, err
+	}
+	d := &driver{policy: p, now: policyWait, tries: map[uint32]int{}}
+	whole := decide.Event{Kind: decide.EvList, List: decide.ListFull, Entries: all}
+	first := d.step(whole)
+	memory := heapBytes() - before
+	again := d.step(whole)
+	const changes = 2000
+	var changed, failed time.Duration
+	for i := range changes {
+		d.now += policyMoment
+		state := decide.Draining
+		if i%2 == 1 {
+			state = decide.Ready
+		}
+		changed += d.step(decide.Event{Kind: decide.EvList, List: decide.ListChange, Entries: []decide.Entry{entry(i/2%size, state)}})
+	}
+	told, err := d.deliveries(0, min(size/4, 20), decide.Load{Left: 0.5, Limit: 100, Told: true})
+	if err != nil {
+		return nil, err
+	}
+	untold, err := d.deliveries(size/4, min(size/4, 20), decide.Load{})
+	if err != nil {
+		return nil, err
+	}
+	trials := 0
+	down := size - 1
+	for range 20 {
+		d.step(d.message(down, safeClass))
+	}
+	for end := d.now + 600e6; d.now < end && trials < 200; d.now += policyMoment * 10 {
+		d.step(decide.Event{Kind: decide.EvTimer})
+		for len(d.out) > 0 {
+			e, err := d.outcome(decide.NoConnect, 0)
+			if err != nil {
+				return nil, err
+			}
+			failed += d.step(e)
+			trials++
+		}
+		if d.ended > 0 { // what was given up is handed in anew
+			d.ended = 0
+			d.step(d.message(down, safeClass))
+		}
+	}
+	runtime.KeepAlive(all)
+	return []float64{first.Seconds() * 1e3, max(memory, 0) / 1e6, again.Seconds() * 1e3, micros(changed, changes),
+		told, untold, micros(failed, max(trials, 1))}, nil
+}
+
+// deliveries gives the mean time of a message handed in and its answer with a
+// load report, over some destinations that are up.
+func (d *driver) deliveries(first, destinations int, load decide.Load) (float64, error) {
+	const each = 25
+	var took time.Duration
+	for round := range each + 1 {
+		for i := range destinations {
+			d.now += policyMoment * 100
+			span := d.step(d.message(first+i, safeClass))
+			for len(d.out) > 0 {
+				e, err := d.outcome(decide.Delivered, 0)
+				if err != nil {
+					return 0, err
+				}
+				e.Load = load
+				span += d.step(e)
+			}
+			if round > 0 { // by the first answer the report is known
+				took += span
+			}
+		}
+	}
+	return micros(took, each*destinations), nil
+}
+
+// queueUp times outcomes at a destination whose queue is kept at a length, and
+// then how long the whole queue takes.
+func queueUp(_ context.Context, _ *environment, size int) ([]float64, error) {
+	d, err := newDriver(1, 0)
+	if err != nil {
+		return nil, err
+	}
+	for range size {
+		d.step(d.message(0, safeClass))
+	}
+	const rounds = 100
+	var outcomes, taken, all time.Duration
+	for range rounds {
+		took, err := d.deliver()
+		if err != nil {
+			return nil, err
+		}
+		outcomes += took
+		taken += d.step(d.message(0, safeClass))
+	}
+	for range size - d.ended {
+		took, err := d.deliver()
+		if err != nil {
+			return nil, err
+		}
+		all += took
+	}
+	return []float64{micros(outcomes, rounds), micros(taken, rounds), all.Seconds() * 1e3}, nil
+}
+
+// queueDown times messages handed in for a destination that told the relay to
+// wait and has a queue already.
+func queueDown(_ context.Context, _ *environment, size int) ([]float64, error) {
+	d, err := newDriver(1, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.shut(0); err != nil {
+		return nil, err
+	}
+	class := func(i int) int { return i % 10 / 7 } // three in ten are unsafe, as in the traffic
+	for i := range size {
+		d.step(d.message(0, class(i)))
+	}
+	rounds := max(10, size/20)
+	var took time.Duration
+	for i := range rounds {
+		took += d.step(d.message(0, class(i)))
+	}
+	return []float64{micros(took, rounds)}, nil
+}
+
+// fill has a policy hold so many messages, for destinations that are down.
+func (d *driver) fill(size, from, destinations int) error {
+	for i := range destinations {
+		if err := d.shut(from + i); err != nil {
+			return err
+		}
+	}
+	for i := range size - destinations {
+		d.step(d.message(from+i%destinations, safeClass))
+	}
+	return nil
+}
+
+// heldMessages measures what a held message costs in memory, and what all held
+// messages cost each delivery at destinations that are up.
+func heldMessages(_ context.Context, _ *environment, size int) ([]float64, error) {
+	d, err := newDriver(destinationsDown+destinationsUp, 0)
+	if err != nil {
+		return nil, err
+	}
+	before := heapBytes()
+	if err := d.fill(size, destinationsUp, destinationsDown); err != nil {
+		return nil, err
+	}
+	memory := heapBytes() - before
+	runtime.KeepAlive(d)
+	values := []float64{max(memory, 0) / 1e6}
+	const rounds = 100
+	for _, class := range []int{safeClass, unsafeClass} {
+		var took time.Duration
+		for i := range rounds {
+			d.now += policyMoment
+			took += d.step(d.message(i%destinationsUp, class))
+			for len(d.out) > 0 {
+				e, err := d.outcome(decide.Delivered, 0)
+				if err != nil {
+					return nil, err
+				}
+				took += d.step(e)
+			}
+		}
+		values = append(values, micros(took, rounds))
+	}
+	for i := range 4 * policySlots { // more than the slots
+		d.now += policyMoment
+		d.step(d.message(i%destinationsUp, unsafeClass))
+	}
+	var took time.Duration
+	n := 0
+	for ; n < rounds && len(d.out) > 0; n++ {
+		d.now += policyMoment
+		e, err := d.outcome(decide.Delivered, 0)
+		if err != nil {
+			return nil, err
+		}
+		took += d.step(e)
+	}
+	return append(values, micros(took, max(n, 1))), nil
+}
+
+// shed times messages handed in to a policy that holds all that it may.
+func shed(most, destinations int) ([]float64, error) {
+	d, err := newDriver(destinations, most)
+	if err != nil {
+		return nil, err
+	}
+	down := min(destinations/2, destinationsDown, most/2)
+	if err := d.fill(most-most/16, destinations-down, down); err != nil {
+		return nil, err
+	}
+	const rounds = 50
+	ended := d.ended
+	var took time.Duration
+	for i := range rounds {
+		took += d.step(d.message(destinations-down+i%down, safeClass))
+	}
+	if d.ended == ended {
+		return nil, errNotFull
+	}
+	return []float64{micros(took, rounds)}, nil
+}
--- /dev/null
+++ b/internal/lab/capacity/run.go
@@ -0,0 +1,164 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Options say what is measured and by which programs.
+type Options struct {
+	Only     []string // names of jobs; empty for all
+	Plays    int
+	Smoke    bool   // small sizes, one short play: whether it works, not what it costs
+	Relay    string // programs
+	Registry string
+	Warden   string
+	Out      string // folder for the data of what is run
+	Say      func(format string, args ...any)
+}
+
+// job is one set of runs: at each size a run gives a value for each quantity.
+type job struct {
+	name       string
+	sizes      []int
+	smoke      []int
+	quantities []Quantity
+	run        func(ctx context.Context, e *environment, size int) ([]float64, error)
+}
+
+// environment is what a run may use.
+type environment struct {
+	Options
+	dir string // of this run alone; removed after it
+}
+
+// scaled gives one of two values, by whether this is a smoke run.
+func scaled[T any](e *environment, smoke, full T) T {
+	if e.Smoke {
+		return smoke
+	}
+	return full
+}
+
+// jobs are all that can be measured, in the order of the roles.
+func jobs() []job {
+	return slices.Concat(listJobs(), policyJobs())
+}
+
+// Names are the names of all jobs.
+func Names() (names []string) {
+	for _, j := range jobs() {
+		names = append(names, j.name)
+	}
+	return names
+}
+
+// Run measures. A job that fails is noted with its error, and the others go on;
+// the error tells of failed jobs.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	result := &Result{}
+	var failed []error
+	for _, name := range o.Only {
+		if !slices.Contains(Names(), name) {
+			return nil, fmt.Errorf("capacity: no job %q; there are %s", name, strings.Join(Names(), ", "))
+		}
+	}
+	for _, j := range jobs() {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, j.name) {
+			continue
+		}
+		began := time.Now()
+		all, err := j.measure(ctx, o)
+		if err != nil {
+			err = fmt.Errorf("capacity: %s: %w", j.name, err)
+			failed = append(failed, err)
+			result.Notes = append(result.Notes, err.Error())
+		}
+		result.Capacity = append(result.Capacity, all...)
+		o.Say("# %s took %.0f s", j.name, time.Since(began).Seconds())
+	}
+	return result, errors.Join(failed...)
+}
+
+// measure runs a job at all sizes. Sizes at which it failed are left out; what
+// the others gave is kept where there are two.
+func (j *job) measure(ctx context.Context, o Options) ([]Measurement, error) {
+	sizes, plays := j.sizes, max(o.Plays, 1)
+	if o.Smoke {
+		sizes, plays = j.smoke, 1
+	}
+	out := make([]Measurement, len(j.quantities))
+	for i, q := range j.quantities {
+		out[i] = Measurement{Job: j.name, Quantity: q}
+	}
+	var failed error
+	for _, size := range sizes {
+		values, err := j.at(ctx, o, size, plays)
+		if err != nil {
+			failed = fmt.Errorf("at %d: %w", size, err)
+			break
+		}
+		for i := range out {
+			out[i].Sizes = append(out[i].Sizes, float64(size))
+			out[i].Values = append(out[i].Values, values[i])
+		}
+	}
+	if len(out[0].Sizes) < 2 {
+		return nil, failed
+	}
+	for i := range out {
+		out[i].fit()
+	}
+	return out, failed
+}
+
+// at gives the values of all plays at one size, by quantity.
+func (j *job) at(ctx context.Context, o Options, size, plays int) ([][]float64, error) {
+	values := make([][]float64, len(j.quantities))
+	for range plays {
+		got, err := j.once(ctx, o, size)
+		if err != nil {
+			return nil, err
+		}
+		for i, v := range got {
+			values[i] = append(values[i], v)
+		}
+	}
+	for i, q := range j.quantities {
+		o.Say("%-16s %-52s %9d  %s %s", j.name, q.Name, size, numbers(values[i]), q.Unit)
+	}
+	return values, nil
+}
+
+func (j *job) once(ctx context.Context, o Options, size int) ([]float64, error) {
+	if err := os.MkdirAll(o.Out, 0o755); err != nil {
+		return nil, fmt.Errorf("folder: %w", err)
+	}
+	dir, err := os.MkdirTemp(o.Out, j.name+"-")
+	if err != nil {
+		return nil, fmt.Errorf("folder: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	if dir, err = filepath.Abs(dir); err != nil {
+		return nil, fmt.Errorf("folder: %w", err)
+	}
+	got, err := j.run(ctx, &environment{Options: o, dir: dir}, size)
+	if err == nil && len(got) != len(j.quantities) {
+		err = fmt.Errorf("%d values of %d quantities", len(got), len(j.quantities))
+	}
+	return got, err
+}
+
+func numbers(values []float64) string {
+	var text []string
+	for _, v := range values {
+		text = append(text, fmt.Sprintf("%.5g", v))
+	}
+	return strings.Join(text, " ")
+}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -519,7 +519,7 @@
 	r.Flags().DurationVar(&o.Outage, "outage", 20*time.Second, "without a group, before they come back")
 	r.Flags().DurationVar(&o.Load, "load", 5*time.Second, "of each of three plays of writes")
 	r.Flags().Uint64Var(&o.Seed, "seed", 1, "of the moments of the kills")
-	c.AddCommand(r, benchWAL(), benchDuty())
+	c.AddCommand(r, benchWAL(), benchDuty(), benchScale())
 	return c
 }
 
--- /dev/null
+++ b/internal/lab/command/scale.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"errors"
+	"path/filepath"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"troutusher/internal/lab/capacity"
+)
+
+// benchScale measures what each role costs at several sizes.
+func benchScale() *cobra.Command {
+	o := capacity.Options{}
+	var file string
+	c := &cobra.Command{Use: "scale", Short: "What each role costs at several sizes, as slopes up to the target size", Args: exactly(0),
+		Long: "What each role costs at several sizes, as slopes up to the target size.\n\nJobs: " + strings.Join(capacity.Names(), ", "),
+		RunE: func(c *cobra.Command, _ []string) (err error) {
+			if err := findPrograms(&o); err != nil {
+				return err
+			}
+			o.Out, o.Say = benchOut(c, o.Out, "scale")
+			result, err := capacity.Run(c.Context(), o)
+			if result == nil {
+				return usageError{err}
+			}
+			if file == "" {
+				file = filepath.Join(o.Out, "bench.json")
+			}
+			return errors.Join(result.Table(c.OutOrStdout()), result.Save(file), err)
+		}}
+	c.Flags().StringSliceVar(&o.Only, "only", nil, "these jobs alone")
+	c.Flags().IntVar(&o.Plays, "plays", 3, "runs of each size")
+	c.Flags().BoolVar(&o.Smoke, "smoke", false, "small sizes, one play: whether it works, not what it costs")
+	c.Flags().StringVar(&file, "json", "", "file of the measurements, for compare (default: bench.json in the folder)")
+	c.Flags().StringVar(&o.Out, "out", "", "folder, on the disk that is measured (default: lab-out/bench-scale-TIME)")
+	c.Flags().StringVar(&o.Relay, "relay", "", "the relay's program (default: troutusher beside this one)")
+	c.Flags().StringVar(&o.Registry, "registry", "", "the list service's program (default: troutregistry beside this one)")
+	c.Flags().StringVar(&o.Warden, "warden", "", "the wardens' program (default: troutwarden beside this one)")
+	return c
+}
+
+// findPrograms puts in the programs that are not named.
+func findPrograms(o *capacity.Options) error {
+	for _, x := range []struct {
+		path   *string
+		beside string
+		flag   string
+	}{{&o.Relay, "troutusher", "relay"}, {&o.Registry, "troutregistry", "registry"}, {&o.Warden, "troutwarden", "warden"}} {
+		path, err := find(*x.path, x.beside, x.flag)
+		if err != nil {
+			return err
+		}
+		*x.path = path
+	}
+	return nil
+}
