Measure slopes of real relays, the list service, agents and wardens

The policy and the list are only part of what a role costs: the processes themselves idle, start, hold, replicate and write to disk.

New jobs of troutlab bench scale with real processes: a relay idle over the size of its list, a relay that holds messages for destinations that refuse, a start after SIGKILL over what is owed; a list service of three nodes under changes, heartbeats, whole lists and watchers; an agent under changes; notices; wardens. Processor time is read per thread in nanoseconds, since the process's own figure counts in hundredths of a second. Values of 0 are left out of the power law. A smoke run has four jobs at once.

--- /dev/null
+++ b/internal/lab/capacity/main_test.go
@@ -0,0 +1,51 @@
+package capacity
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+
+	dutycommand "troutusher/internal/duty/command"
+	registrycommand "troutusher/internal/registry/command"
+	"troutusher/internal/relay"
+)
+
+// programEnv makes the test's own program a relay, a node, an agent or a warden:
+// what a run starts has the test's environment.
+const programEnv = "CAPACITY_TEST_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(programEnv) != "" {
+		os.Exit(program(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// program runs what its arguments are of: a relay has none.
+func program(args []string) int {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer cancel()
+	switch {
+	case len(args) == 0:
+		return runRelay(ctx)
+	case strings.HasPrefix(args[0], "-"):
+		return dutycommand.Warden(ctx, args, os.Stdout, os.Stderr)
+	}
+	return registrycommand.Registry(ctx, args, os.Getenv, os.Stdout, os.Stderr)
+}
+
+func runRelay(ctx context.Context) int {
+	cfg, err := relay.LoadConfig(os.Getenv)
+	if err == nil {
+		err = relay.Run(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)), ctx.Done(), nil)
+	}
+	if err != nil {
+		slog.Error("relay ended", "err", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/lab/capacity/registry.go
@@ -0,0 +1,231 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"troutusher/internal/lab/process"
+	"troutusher/internal/loopback"
+	"troutusher/internal/registry"
+	"troutusher/internal/registry/client"
+)
+
+const (
+	groupWait   = 60 * time.Second
+	memberOwner = "bench" // who registered all members
+)
+
+// group is a list service of real processes with so many members.
+type group struct {
+	program string
+	nodes   []string // addresses
+	files   []string
+	procs   []*process.Proc
+	log     *os.File
+	client  *client.Client
+}
+
+// startGroup runs a group of so many nodes and has it hold so many members. In a
+// smoke run one node has to do.
+func (e *environment) startGroup(ctx context.Context, nodes, members int) (_ *group, err error) {
+	nodes = scaled(e, 1, nodes)
+	g := &group{program: e.Registry}
+	defer func() {
+		if err != nil {
+			g.close()
+		}
+	}()
+	if g.log, err = os.Create(filepath.Join(e.dir, "nodes.log")); err != nil {
+		return g, fmt.Errorf("group: %w", err)
+	}
+	if err := g.configure(e.dir, nodes); err != nil {
+		return g, err
+	}
+	for i, file := range g.files {
+		p, err := process.Start(fmt.Sprint("node ", i), g.program, []string{"serve", "--config", file}, nil, g.log)
+		if err != nil {
+			return g, err
+		}
+		g.procs = append(g.procs, p)
+	}
+	if g.client, err = client.New(g.nodes, 1, slog.New(slog.DiscardHandler)); err != nil {
+		return g, err
+	}
+	return g, g.restore(ctx, members)
+}
+
+func (g *group) configure(dir string, nodes int) error {
+	var peers strings.Builder
+	var raft []string
+	for i := range nodes {
+		g.nodes, raft = append(g.nodes, loopback.Free()), append(raft, loopback.Free())
+		fmt.Fprintf(&peers, "[[peers]]\nid = \"r%d\"\nraft = %q\nhttp = %q\n", i, raft[i], g.nodes[i])
+	}
+	for i := range nodes {
+		data := filepath.Join(dir, fmt.Sprint("node-", i))
+		text := fmt.Sprintf("id = \"r%d\"\ndata = %q\nlisten = %q\nraft = %q\n%s", i, data, g.nodes[i], raft[i], peers.String())
+		if err := os.WriteFile(data+".toml", []byte(text), 0o600); err != nil {
+			return fmt.Errorf("group: %w", err)
+		}
+		g.files = append(g.files, data+".toml")
+	}
+	return nil
+}
+
+// restore gives the group its members by a backup of a group that had them, and
+// waits until every node has them.
+func (g *group) restore(ctx context.Context, members int) error {
+	ctx, cancel := context.WithTimeout(ctx, groupWait)
+	defer cancel()
+	s := registry.NewState()
+	s.Epoch, s.Revision = "bench", int64(members)
+	for i := range members {
+		m := member(i, shortID)
+		s.Members[m.ID] = registry.Member{Member: m, TTL: 24 * time.Hour, Holder: memberOwner, Since: int64(i + 1), Changed: int64(i + 1)}
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("group: %w", err)
+	}
+	if _, err := g.client.Do(ctx, http.MethodPut, registry.SnapshotPath, text, nil); err != nil {
+		return fmt.Errorf("group: backup: %w", err)
+	}
+	for _, node := range g.nodes {
+		for {
+			status, err := statusOf(ctx, node)
+			if err == nil && status.Members == members && !status.Stale {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("group: %s holds %d members of %d", node, status.Members, members)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func statusOf(ctx context.Context, node string) (s registry.Status, err error) {
+	text, err := get(ctx, "http://"+node+registry.StatusPath)
+	if err == nil {
+		err = json.Unmarshal(text, &s)
+	}
+	return s, err
+}
+
+func get(ctx context.Context, url string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("get: %w", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	if _, err := b.ReadFrom(resp.Body); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("get: %s: %s", url, resp.Status)
+	}
+	return b.Bytes(), nil
+}
+
+// leader gives the place of the node that leads.
+func (g *group) leader(ctx context.Context) (int, error) {
+	for i, node := range g.nodes {
+		if s, err := statusOf(ctx, node); err == nil && s.Role == "Leader" {
+			return i, nil
+		}
+	}
+	return 0, errors.New("group: no leader")
+}
+
+func (g *group) close() {
+	if g.client != nil {
+		g.client.Close()
+	}
+	for _, p := range g.procs {
+		p.Kill()
+	}
+	if g.log != nil {
+		g.log.Close()
+	}
+}
+
+// usage adds up what all nodes use.
+func (g *group) usage() (all usage, err error) {
+	for _, p := range g.procs {
+		u, err := usageOf(p)
+		if err != nil {
+			return all, err
+		}
+		all.cpu, all.rss, all.written = all.cpu+u.cpu, all.rss+u.rss, all.written+u.written
+	}
+	return all, nil
+}
+
+// idle gives the processor time of all nodes while nobody asks them, in % of a
+// core.
+func (g *group) idle(ctx context.Context, span time.Duration) (float64, error) {
+	before, err := g.usage()
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case <-time.After(span):
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	after, err := g.usage()
+	return (after.cpu - before.cpu).Seconds() / span.Seconds() * 100, err
+}
+
+// repeat has clients ask side by side for a span, each call as ask says, and
+// gives how many calls were answered.
+func (g *group) repeat(ctx context.Context, clients int, span time.Duration, ask func(ctx context.Context, c *client.Client, caller, n int) error) (float64, error) {
+	var answered atomic.Int64
+	end := time.Now().Add(span)
+	all, ctx := errgroup.WithContext(ctx)
+	for caller := range clients {
+		all.Go(func() error {
+			c, err := client.New(g.nodes, 1, slog.New(slog.DiscardHandler))
+			if err != nil {
+				return err
+			}
+			defer c.Close()
+			for n := 0; time.Now().Before(end); n++ {
+				if err := ask(ctx, c, caller, n); err != nil {
+					return err
+				}
+				answered.Add(1)
+			}
+			return nil
+		})
+	}
+	err := all.Wait()
+	return float64(answered.Load()), err
+}
+
+// change moves a member to another zone, so that it is a change of the list.
+func change(ctx context.Context, c *client.Client, which, n int) (registry.Answer, error) {
+	m := member(which, shortID)
+	var a registry.Answer
+	_, err := c.Do(ctx, http.MethodPost, registry.MembersPath, registry.Registration{ID: m.ID, Address: m.HostPort, Zone: fmt.Sprint("moved-", n),
+		Flavor: m.Flavor, Cell: m.Cell, TTLMS: (24 * time.Hour).Milliseconds(), Holder: memberOwner}, &a)
+	return a, err
+}
--- /dev/null
+++ b/internal/lab/capacity/registry_jobs.go
@@ -0,0 +1,145 @@
+package capacity
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"troutusher/internal/discovery"
+	"troutusher/internal/registry"
+	"troutusher/internal/registry/client"
+)
+
+const (
+	groupNodes   = 3
+	writers      = 16
+	memberTTL    = 15.0 // seconds, as README has members registered
+	beatsEach    = 3.0  // heartbeats of a member in its time to live
+	targetBeats  = targetMembers * beatsEach / memberTTL
+	watchersFew  = 3000 // members
+	writesTimed  = 20
+	readersAsked = 4
+)
+
+func registryJobs() []job {
+	quantity := func(name, unit, sizeUnit string, target float64) Quantity {
+		return Quantity{Role: "list service", Name: name, Unit: unit, SizeUnit: sizeUnit, Target: target}
+	}
+	const list, watchers = "members", "watchers"
+	watch := func(name string, members int) job {
+		return job{name: name, sizes: []int{9, 30, 90, 300, 900}, smoke: []int{3, 30},
+			quantities: []Quantity{quantity("until all watchers have the whole list", "ms", watchers, targetRelays),
+				quantity("from a write to the last watcher, median of 20", "ms", watchers, targetRelays),
+				quantity("from a write to the last watcher, longest of 20", "ms", watchers, targetRelays),
+				quantity("memory of three nodes for their watchers", "MB", watchers, targetRelays)},
+			run: func(ctx context.Context, e *environment, size int) ([]float64, error) {
+				return watchGroup(ctx, e, scaled(e, 100, members), size)
+			}}
+	}
+	return []job{
+		{name: "registry-write", sizes: memberSizes, smoke: smokeSizes, run: writeGroup, quantities: []Quantity{
+			quantity("time of the group for a change, 16 writers", "us", list, targetMembers), quantity("processor of three nodes for a change", "us", list, targetMembers),
+			quantity("written to three disks for a change", "KB", list, targetMembers), quantity("memory of a node", "MB", list, targetMembers)}},
+		{name: "registry-beat", sizes: memberSizes, smoke: smokeSizes, run: beatGroup, quantities: []Quantity{
+			quantity("processor of three nodes that nobody asks", "% of a core", list, targetMembers),
+			quantity("time of the group for a heartbeat, 16 clients", "us", list, targetMembers), quantity("processor of three nodes for a heartbeat", "us", list, targetMembers),
+			quantity("processor of three nodes for one of a batch of 100", "us", list, targetMembers),
+			{Role: "list service", Name: "processor if each member sends its own, 3 in 15 s", Unit: "cores", SizeUnit: list, Target: targetMembers}}},
+		{name: "registry-list", sizes: memberSizes, smoke: smokeSizes, run: listGroup, quantities: []Quantity{
+			quantity("time of the group for a whole list, 4 readers", "ms", list, targetMembers), quantity("processor of three nodes for it", "ms", list, targetMembers),
+			quantity("backup, bytes", "MB", list, targetMembers), quantity("backup, time", "ms", list, targetMembers)}},
+		watch("registry-watch-3000", watchersFew),
+		watch("registry-watch-31000", targetMembers),
+	}
+}
+
+// writeGroup measures changes of members, as many as 16 writers get answered.
+func writeGroup(ctx context.Context, e *environment, size int) ([]float64, error) {
+	g, err := e.startGroup(ctx, groupNodes, size)
+	if err != nil {
+		return nil, err
+	}
+	defer g.close()
+	before, err := g.usage()
+	if err != nil {
+		return nil, err
+	}
+	span := scaled(e, 200*time.Millisecond, 3*time.Second)
+	n, err := g.repeat(ctx, writers, span, func(ctx context.Context, c *client.Client, caller, n int) error {
+		_, err := change(ctx, c, caller, n)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	after, err := g.usage()
+	return []float64{span.Seconds() * 1e6 / n, float64((after.cpu - before.cpu).Microseconds()) / n, (after.written - before.written) / 1e3 / n, after.rss / 1e6 / groupNodes}, err
+}
+
+// beatGroup measures heartbeats: one in each call, then a hundred.
+func beatGroup(ctx context.Context, e *environment, size int) ([]float64, error) {
+	g, err := e.startGroup(ctx, groupNodes, size)
+	if err != nil {
+		return nil, err
+	}
+	defer g.close()
+	idle, err := g.idle(ctx, scaled(e, 200*time.Millisecond, 3*time.Second))
+	if err != nil {
+		return nil, err
+	}
+	span := scaled(e, 200*time.Millisecond, 2*time.Second)
+	beats := func(each int) (calls, cpu float64, err error) {
+		before, err := g.usage()
+		if err != nil {
+			return 0, 0, err
+		}
+		calls, err = g.repeat(ctx, writers, span, func(ctx context.Context, c *client.Client, caller, n int) error {
+			var all []registry.Beat
+			for i := range each {
+				all = append(all, registry.Beat{ID: member(((n*each+i)*writers+caller)%size, shortID).ID, Holder: memberOwner})
+			}
+			_, err := c.Do(ctx, http.MethodPost, registry.HeartbeatsPath, all, nil)
+			return err
+		})
+		if err != nil {
+			return 0, 0, err
+		}
+		after, err := g.usage()
+		return calls, float64((after.cpu - before.cpu).Microseconds()) / calls, err
+	}
+	calls, single, err := beats(1)
+	if err != nil {
+		return nil, err
+	}
+	_, batch, err := beats(100)
+	return []float64{idle, span.Seconds() * 1e6 / calls, single, batch / 100, single * beatsEach * float64(size) / memberTTL / 1e6}, err
+}
+
+// listGroup measures whole lists and a backup.
+func listGroup(ctx context.Context, e *environment, size int) ([]float64, error) {
+	g, err := e.startGroup(ctx, groupNodes, size)
+	if err != nil {
+		return nil, err
+	}
+	defer g.close()
+	before, err := g.usage()
+	if err != nil {
+		return nil, err
+	}
+	span := scaled(e, 200*time.Millisecond, 2*time.Second)
+	n, err := g.repeat(ctx, readersAsked, span, func(ctx context.Context, _ *client.Client, caller, n int) error {
+		_, err := get(ctx, "http://"+g.nodes[(caller+n)%len(g.nodes)]+discovery.ListPath)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	after, err := g.usage()
+	if err != nil {
+		return nil, err
+	}
+	var text []byte
+	began := time.Now()
+	_, err = g.client.Do(ctx, http.MethodGet, registry.SnapshotPath, nil, &text)
+	return []float64{span.Seconds() * 1e3 / n, (after.cpu - before.cpu).Seconds() * 1e3 / n, float64(len(text)) / 1e6, time.Since(began).Seconds() * 1e3}, err
+}
--- /dev/null
+++ b/internal/lab/capacity/relay_jobs.go
@@ -0,0 +1,247 @@
+package capacity
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"troutusher/internal/discovery"
+	"troutusher/internal/lab/process"
+	"troutusher/internal/wal"
+)
+
+const (
+	bodySize    = 200 // bytes
+	relayWriter = 16  // clients that hand messages in side by side
+	largeMemory = 8192
+	largeDisk   = 4096 // MB
+)
+
+func relayJobs() []job {
+	const list, held = "members", "messages owed"
+	quantity := func(name, unit, sizeUnit string, target, budget float64) Quantity {
+		return Quantity{Role: "relay", Name: name, Unit: unit, SizeUnit: sizeUnit, Target: target, Budget: budget}
+	}
+	return []job{
+		{name: "relay-idle", sizes: memberSizes, smoke: smokeSizes, run: relayIdle, quantities: []Quantity{
+			quantity("idle", "% of a core", list, targetMembers, budgetCore), quantity("memory, steady", "MB", list, targetMembers, budgetMemory),
+			quantity("memory, most since the start", "MB", list, targetMembers, budgetMemory), quantity("bytes with its agent at a start", "KB", list, targetMembers, 0),
+			quantity("bytes with its agent, idle", "KB/s", list, targetMembers, budgetBytes), quantity("from its first start until it serves, its turn in the fleet included", "ms", list, targetMembers, 0)}},
+		{name: "relay-held", sizes: []int{1000, 3000, 10_000, 30_000, 100_000}, smoke: []int{300, 3000}, run: relayHeld, quantities: []Quantity{
+			quantity("memory for messages of 200 bytes to destinations that are down", "MB", held, targetHeld, budgetMemory),
+			quantity("disk for them", "MB", held, targetHeld, 0), quantity("processor time to take them on", "ms", held, targetHeld, 0),
+			quantity("processor while they wait", "% of a core", held, targetHeld, 0)}},
+		{name: "relay-start", sizes: []int{1000, 3000, 10_000, 30_000, 100_000}, smoke: []int{300, 3000}, run: relayStart, quantities: []Quantity{
+			quantity("from a start after SIGKILL until it serves", "ms", held, targetHeld, 10_000),
+			quantity("from a start after SIGKILL until all is read", "ms", held, targetHeld, 10_000),
+			quantity("memory once all is read", "MB", held, targetHeld, budgetMemory), quantity("most memory by then", "MB", held, targetHeld, budgetMemory),
+			quantity("disk", "MB", held, targetHeld, 0)}},
+	}
+}
+
+// relayIdle runs a relay with a list and no traffic.
+func relayIdle(ctx context.Context, e *environment, size int) ([]float64, error) {
+	s, err := newListServer(memberList(size, shortID))
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	r, err := e.newRelay(s.addr, nil, relayLimits{memoryMB: budgetMemory, diskMB: 64, held: 10_000})
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	began := time.Now()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	started, err := await(ctx, r.Proc, "relay serves", began, r.serves)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := await(ctx, r.Proc, "watch", began, func() bool { return s.watches.Load() > 0 }); err != nil {
+		return nil, err
+	}
+	bytes := s.bytes.Load()
+	if _, err := observe(ctx, r.Proc, s, scaled(e, 200*time.Millisecond, 2*time.Second)); err != nil { // the start's garbage
+		return nil, err
+	}
+	idle, err := observe(ctx, r.Proc, s, scaled(e, 500*time.Millisecond, 10*time.Second))
+	if err != nil {
+		return nil, err
+	}
+	if members, err := r.gauge("app_members"); err != nil || int(members) != size {
+		return nil, fmt.Errorf("relay: %v members of %d (%w)", members, size, err)
+	}
+	peak, err := peakRSS(r.PID)
+	return []float64{idle.core, idle.rss / 1e6, peak / 1e6, float64(bytes) / 1e3, idle.bytes / 1e3, started.Seconds() * 1e3}, err
+}
+
+// relayHeld has a relay take messages for destinations that refuse connections.
+func relayHeld(ctx context.Context, e *environment, size int) ([]float64, error) {
+	l := refusingList()
+	s, err := newListServer(l)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	r, err := e.newRelay(s.addr, s.known(), relayLimits{memoryMB: largeMemory, diskMB: largeDisk, held: size*2 + 1000})
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	if _, err := await(ctx, r.Proc, "relay ready", time.Now(), func() bool { return r.serves() && r.ready() }); err != nil {
+		return nil, err
+	}
+	before, err := usageOf(r.Proc)
+	if err != nil {
+		return nil, err
+	}
+	disk := process.DiskUse(r.state)
+	if err := handIn(ctx, r.listen, size); err != nil {
+		return nil, err
+	}
+	taken, err := usageOf(r.Proc)
+	if err != nil {
+		return nil, err
+	}
+	disk = process.DiskUse(r.state) - disk
+	wait, err := observe(ctx, r.Proc, s, scaled(e, 500*time.Millisecond, 5*time.Second))
+	if err != nil {
+		return nil, err
+	}
+	pending, err := r.gauge("app_pending")
+	if err == nil && pending < 0.95*float64(size) {
+		err = fmt.Errorf("relay: %v messages held of %d", pending, size)
+	}
+	each := float64(size) / max(pending, 1)
+	return []float64{max(0, wait.rss-before.rss) / 1e6 * each, float64(disk) / 1e6 * each,
+		(taken.cpu - before.cpu).Seconds() * 1e3, wait.core}, err
+}
+
+// refusingList is a list of destinations that refuse connections.
+func refusingList() *discovery.List {
+	l := memberList(destinationsDown, shortID)
+	for i := range l.Members {
+		l.Members[i].HostPort = "127.0.0.1:1"
+	}
+	return l
+}
+
+// handIn has clients hand in so many messages, all of which must be taken.
+func handIn(ctx context.Context, addr string, size int) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for client := range relayWriter {
+		group.Go(func() error {
+			c, err := net.DialTimeout("tcp4", addr, time.Second)
+			if err != nil {
+				return fmt.Errorf("client: %w", err)
+			}
+			defer c.Close()
+			stop := context.AfterFunc(ctx, func() { c.Close() })
+			defer stop()
+			in := bufio.NewReader(c)
+			for i := client; i < size; i += relayWriter {
+				if _, err := c.Write(putRequest(i)); err != nil {
+					return fmt.Errorf("client: %w", err)
+				}
+				line, err := in.ReadString('\n')
+				if err != nil {
+					return fmt.Errorf("client: %w", err)
+				}
+				if !strings.HasPrefix(line, "+") {
+					return fmt.Errorf("client: message %d of %d: %q", i, size, line)
+				}
+			}
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+var messageBody = strings.Repeat("b", bodySize)
+
+func messageID(i int) string { return fmt.Sprintf("%016x", uint64(i+1)*0x9e3779b97f4a7c15) }
+
+// putRequest is MSG.PUT of one message for a destination that is down.
+func putRequest(i int) []byte {
+	out := []byte("*5\r\n")
+	for _, s := range []string{"MSG.PUT", "0000000000000000", messageID(i), fmt.Sprintf("c=alert-update,d=%d,dest=%d", classTime/1000, i%destinationsDown), messageBody} {
+		out = fmt.Appendf(out, "$%d\r\n%s\r\n", len(s), s)
+	}
+	return out
+}
+
+// relayStart starts a relay over a log that a killed one left: so many messages
+// are owed, to destinations that refuse connections.
+func relayStart(ctx context.Context, e *environment, size int) ([]float64, error) {
+	l := refusingList()
+	s, err := newListServer(l)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	r, err := e.newRelay(s.addr, s.known(), relayLimits{memoryMB: largeMemory, diskMB: largeDisk, held: size*2 + 1000})
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	if err := owe(r.state, size); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	serves, err := await(ctx, r.Proc, "relay serves", began, r.serves)
+	if err != nil {
+		return nil, err
+	}
+	all, err := await(ctx, r.Proc, "all is read", began, r.ready)
+	if err != nil {
+		return nil, err
+	}
+	u, err := r.Measure(r.state)
+	if err != nil {
+		return nil, err
+	}
+	peak, err := peakRSS(r.PID)
+	return []float64{serves.Seconds() * 1e3, all.Seconds() * 1e3, float64(u.RSS) / 1e6, peak / 1e6, float64(u.Disk) / 1e6}, err
+}
+
+// owe writes the log of a relay that took so many messages and was killed.
+func owe(state string, size int) error {
+	w, err := wal.Open(wal.Options{Dir: state, Limit: largeDisk << 20})
+	if err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	go w.Run(stop)
+	deadline := time.Now().UnixMicro() + classTime
+	var mu sync.Mutex
+	var failed error
+	for i := range size {
+		w.Submit(&wal.Record{Kind: wal.Taken, ID: messageID(i), Class: "alert-update", Dest: i % destinationsDown, Deadline: deadline, Body: []byte(messageBody)},
+			func(err error) {
+				mu.Lock()
+				defer mu.Unlock()
+				if failed == nil {
+					failed = err
+				}
+			})
+	}
+	close(stop)
+	<-w.Done()
+	mu.Lock()
+	defer mu.Unlock()
+	return failed
+}
--- /dev/null
+++ b/internal/lab/capacity/standin.go
@@ -0,0 +1,141 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"troutusher/internal/discovery"
+)
+
+const standinQuiet = 2 * time.Second // an empty line of a watch, as agents send
+
+// countedListener counts the bytes of all its connections, both ways.
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.bytes}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// listServer is the agent of one relay as far as the relay can tell: one list
+// that does not change, an open watch, and notices that are taken.
+type listServer struct {
+	addr    string
+	list    *discovery.List
+	text    []byte
+	server  *http.Server
+	wg      sync.WaitGroup
+	bytes   atomic.Int64
+	lists   atomic.Int64 // whole lists that were asked for
+	watches atomic.Int64
+	notices atomic.Int64
+}
+
+func newListServer(l *discovery.List) (*listServer, error) {
+	text, err := json.Marshal(l)
+	if err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("list server: %w", err)
+	}
+	s := &listServer{addr: ln.Addr().String(), list: l, text: append(text, '\n')}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+discovery.ListPath, s.getList)
+	mux.HandleFunc("POST "+discovery.NoticePath, s.postNotice)
+	s.server = &http.Server{Handler: mux, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		s.server.Serve(countedListener{ln, &s.bytes}) // ends by close
+	}()
+	return s, nil
+}
+
+// known is the list as a relay has it that missed the last change of one member:
+// its watch begins with that change, so a start does not wait for news that
+// never comes.
+func (s *listServer) known() *discovery.List {
+	return &discovery.List{Revision: s.list.Revision - 1, Complete: true, Members: s.list.Members}
+}
+
+func (s *listServer) close() {
+	s.server.Close()
+	s.wg.Wait()
+}
+
+func (s *listServer) getList(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("watch") == "" {
+		s.lists.Add(1)
+		w.Write(s.text) // a relay that is gone asks again
+		return
+	}
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.watches.Add(1)
+	s.watch(r.Context(), w, from)
+}
+
+func (s *listServer) watch(ctx context.Context, w http.ResponseWriter, from int64) {
+	out := http.NewResponseController(w)
+	w.WriteHeader(http.StatusOK)
+	if from < s.list.Revision {
+		json.NewEncoder(w).Encode(discovery.List{Revision: s.list.Revision, Members: s.list.Members[:1]})
+	}
+	quiet := time.NewTicker(standinQuiet)
+	defer quiet.Stop()
+	for out.Flush() == nil {
+		select {
+		case <-quiet.C:
+			io.WriteString(w, "\n")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *listServer) postNotice(w http.ResponseWriter, r *http.Request) {
+	all, err := discovery.ReadNotices(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.notices.Add(int64(len(all)))
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -31,6 +31,7 @@
 			return errors.Join(result.Table(c.OutOrStdout()), result.Save(file), err)
 		}}
 	c.Flags().StringSliceVar(&o.Only, "only", nil, "these jobs alone")
+	c.Flags().IntSliceVar(&o.Sizes, "sizes", nil, "in place of each job's own")
 	c.Flags().IntVar(&o.Plays, "plays", 3, "runs of each size")
 	c.Flags().BoolVar(&o.Smoke, "smoke", false, "small sizes, one play: whether it works, not what it costs")
 	c.Flags().StringVar(&file, "json", "", "file of the measurements, for compare (default: bench.json in the folder)")
