Measure what destinations that are down cost over the length of the list

A profile of decide alone with 589 destinations, 100,000 owed and failing calls has 77% of 6 s in leastLimit, which walks every destination for each endpoint without a known limit, for each message of a queue that is looked through.

Jobs owed-list (the policy taking up 2,000 owed messages and each failed call, over members) and relay-down (a real relay over the same: processor time, ready, the longest wait of a client) show that slope.

--- a/internal/lab/capacity/policy_jobs.go
+++ b/internal/lab/capacity/policy_jobs.go
@@ -11,7 +11,8 @@
 
 const (
 	destinationsDown = 589
-	destinationsUp   = 200 // beside those that are down
+	destinationsUp   = 200             // beside those that are down
+	failedLimit      = 2 * time.Second // of failing calls in one run
 )
 
 var errNotFull = errors.New("policy: holds all it may and ends nothing")
@@ -35,6 +36,9 @@
 			quantity("a delivery at a destination that told its limit", "us", list, targetMembers),
 			quantity("a delivery at a destination that told none", "us", list, targetMembers),
 			quantity("a failed trial call of one that is down", "us", list, targetMembers)}},
+		{name: "owed-list", sizes: memberSizes, smoke: []int{1000, 3000}, run: owedList, quantities: []Quantity{
+			quantity("taking up 2,000 owed messages for 589 destinations", "ms", list, targetMembers),
+			quantity("each failed call of those", "us", list, targetMembers)}},
 		{name: "queue", sizes: queueSizes, smoke: queueSmoke, run: queueUp, quantities: []Quantity{
 			quantity("an outcome", "us", queued, longest), quantity("a message handed in", "us", queued, longest),
 			quantity("working the whole queue off", "ms", queued, longest)}},
@@ -142,6 +146,34 @@
 	return micros(took, each*destinations), nil
 }
 
+// owedList times one slice of owed messages, as a start reads them, for
+// destinations that refuse connections, and the calls that fail.
+func owedList(_ context.Context, _ *environment, size int) ([]float64, error) {
+	d, err := newDriver(size, 0)
+	if err != nil {
+		return nil, err
+	}
+	const slice = 2000 // as the relay reads
+	var owed []decide.Event
+	for i := range slice {
+		e := d.message(i%min(size, destinationsDown), safeClass)
+		e.Kept = true
+		owed = append(owed, e)
+	}
+	taken := d.step(owed...)
+	var failed time.Duration
+	calls := 0
+	for limit := time.Now().Add(failedLimit); len(d.out) > 0 && time.Now().Before(limit); calls++ {
+		d.now += policyMoment / 10
+		e, err := d.outcome(decide.NoConnect, 0)
+		if err != nil {
+			return nil, err
+		}
+		failed += d.step(e)
+	}
+	return []float64{taken.Seconds() * 1e3, micros(failed, max(calls, 1))}, nil
+}
+
 // queueUp times outcomes at a destination whose queue is kept at a length, and
 // then how long the whole queue takes.
 func queueUp(_ context.Context, _ *environment, size int) ([]float64, error) {
--- a/internal/lab/capacity/relay.go
+++ b/internal/lab/capacity/relay.go
@@ -93,6 +93,28 @@
 	return err == nil && strings.HasPrefix(line, "+PONG")
 }
 
+// longestAnswer hands in messages for a destination that the relay does not know,
+// one after another until ctx ends, and gives the longest wait for an answer.
+func (r *relayProcess) longestAnswer(ctx context.Context) (longest time.Duration) {
+	for i := 1; ctx.Err() == nil; i++ {
+		began := time.Now()
+		c, err := net.DialTimeout("tcp4", r.listen, time.Second)
+		if err != nil {
+			return startWait
+		}
+		c.SetDeadline(time.Now().Add(startWait))
+		c.Write(putRequest(-i, unknownDestination))
+		_, err = bufio.NewReader(c).ReadString('\n')
+		c.Close()
+		if err != nil {
+			return startWait
+		}
+		longest = max(longest, time.Since(began))
+		time.Sleep(20 * time.Millisecond)
+	}
+	return longest
+}
+
 // ready reports whether the relay says that it is.
 func (r *relayProcess) ready() bool {
 	text, err := r.ask("/v1/readyz")
--- a/internal/lab/capacity/relay_jobs.go
+++ b/internal/lab/capacity/relay_jobs.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	bodySize    = 200 // bytes
-	relayWriter = 16  // clients that hand messages in side by side
+	bodySize           = 200     // bytes
+	relayWriter        = 16      // clients that hand messages in side by side
+	unknownDestination = 1 << 16 // the largest that the relay takes; in no list
+
 	largeMemory = 8192
 	largeDisk   = 4096 // MB
 )
@@ -33,6 +35,10 @@
 			quantity("idle", "% of a core", list, targetMembers, budgetCore), quantity("memory, steady", "MB", list, targetMembers, budgetMemory),
 			quantity("memory, most since the start", "MB", list, targetMembers, budgetMemory), quantity("bytes with its agent at a start", "KB", list, targetMembers, 0),
 			quantity("bytes with its agent, idle", "KB/s", list, targetMembers, budgetBytes), quantity("from its first start until it serves, its turn in the fleet included", "ms", list, targetMembers, 0)}},
+		{name: "relay-down", sizes: memberSizes, smoke: smokeSizes, run: relayDown, quantities: []Quantity{
+			quantity("processor with 2,000 owed to 589 destinations that refuse", "% of a core", list, targetMembers, 100),
+			quantity("until all is read, the same", "ms", list, targetMembers, 10_000),
+			quantity("longest wait for an answer meanwhile, the same", "ms", list, targetMembers, 400)}},
 		{name: "relay-held", sizes: []int{1000, 3000, 10_000, 30_000, 100_000}, smoke: []int{300, 3000}, run: relayHeld, quantities: []Quantity{
 			quantity("memory for messages of 200 bytes to destinations that are down", "MB", held, targetHeld, budgetMemory),
 			quantity("disk for them", "MB", held, targetHeld, 0), quantity("processor time to take them on", "ms", held, targetHeld, 0),
@@ -85,7 +91,7 @@
 
 // relayHeld has a relay take messages for destinations that refuse connections.
 func relayHeld(ctx context.Context, e *environment, size int) ([]float64, error) {
-	l := refusingList()
+	l := refusingList(destinationsDown)
 	s, err := newListServer(l)
 	if err != nil {
 		return nil, err
@@ -128,15 +134,50 @@
 		(taken.cpu - before.cpu).Seconds() * 1e3, wait.core}, err
 }
 
-// refusingList is a list of destinations that refuse connections.
-func refusingList() *discovery.List {
-	l := memberList(destinationsDown, shortID)
-	for i := range l.Members {
+// refusingList is a list of which the first destinations, as many as are down at
+// the target, refuse connections.
+func refusingList(size int) *discovery.List {
+	l := memberList(size, shortID)
+	for i := range min(size, destinationsDown) {
 		l.Members[i].HostPort = "127.0.0.1:1"
 	}
 	return l
 }
 
+// relayDown starts a relay that owes something to destinations that refuse, in a
+// list of so many members.
+func relayDown(ctx context.Context, e *environment, size int) ([]float64, error) {
+	l := refusingList(size)
+	s, err := newListServer(l)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	r, err := e.newRelay(s.addr, s.known(), relayLimits{memoryMB: largeMemory, diskMB: largeDisk, held: 10_000})
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	if err := owe(r.state, scaled(e, 200, 2000), min(size, destinationsDown)); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	all, err := await(ctx, r.Proc, "all is read", began, r.ready)
+	if err != nil {
+		return nil, err
+	}
+	longest := make(chan time.Duration, 1)
+	asking, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() { longest <- r.longestAnswer(asking) }()
+	busy, err := observe(ctx, r.Proc, s, scaled(e, 300*time.Millisecond, 5*time.Second))
+	stop()
+	return []float64{busy.core, all.Seconds() * 1e3, (<-longest).Seconds() * 1e3}, err
+}
+
 // handIn has clients hand in so many messages, all of which must be taken.
 func handIn(ctx context.Context, addr string, size int) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -151,7 +192,7 @@
 			defer stop()
 			in := bufio.NewReader(c)
 			for i := client; i < size; i += relayWriter {
-				if _, err := c.Write(putRequest(i)); err != nil {
+				if _, err := c.Write(putRequest(i, i%destinationsDown)); err != nil {
 					return fmt.Errorf("client: %w", err)
 				}
 				line, err := in.ReadString('\n')
@@ -172,10 +213,10 @@
 
 func messageID(i int) string { return fmt.Sprintf("%016x", uint64(i+1)*0x9e3779b97f4a7c15) }
 
-// putRequest is MSG.PUT of one message for a destination that is down.
-func putRequest(i int) []byte {
+// putRequest is MSG.PUT of one message.
+func putRequest(i, destination int) []byte {
 	out := []byte("*5\r\n")
-	for _, s := range []string{"MSG.PUT", "0000000000000000", messageID(i), fmt.Sprintf("c=alert-update,d=%d,dest=%d", classTime/1000, i%destinationsDown), messageBody} {
+	for _, s := range []string{"MSG.PUT", "0000000000000000", messageID(i), fmt.Sprintf("c=alert-update,d=%d,dest=%d", classTime/1000, destination), messageBody} {
 		out = fmt.Appendf(out, "$%d\r\n%s\r\n", len(s), s)
 	}
 	return out
@@ -184,7 +225,7 @@
 // relayStart starts a relay over a log that a killed one left: so many messages
 // are owed, to destinations that refuse connections.
 func relayStart(ctx context.Context, e *environment, size int) ([]float64, error) {
-	l := refusingList()
+	l := refusingList(destinationsDown)
 	s, err := newListServer(l)
 	if err != nil {
 		return nil, err
@@ -195,7 +236,7 @@
 		return nil, err
 	}
 	defer r.close()
-	if err := owe(r.state, size); err != nil {
+	if err := owe(r.state, size, destinationsDown); err != nil {
 		return nil, err
 	}
 	began := time.Now()
@@ -218,8 +259,9 @@
 	return []float64{serves.Seconds() * 1e3, all.Seconds() * 1e3, float64(u.RSS) / 1e6, peak / 1e6, float64(u.Disk) / 1e6}, err
 }
 
-// owe writes the log of a relay that took so many messages and was killed.
-func owe(state string, size int) error {
+// owe writes the log of a relay that took so many messages for the first
+// destinations of its list and was killed.
+func owe(state string, size, destinations int) error {
 	w, err := wal.Open(wal.Options{Dir: state, Limit: largeDisk << 20})
 	if err != nil {
 		return err
@@ -230,7 +272,7 @@
 	var mu sync.Mutex
 	var failed error
 	for i := range size {
-		w.Submit(&wal.Record{Kind: wal.Taken, ID: messageID(i), Class: "alert-update", Dest: i % destinationsDown, Deadline: deadline, Body: []byte(messageBody)},
+		w.Submit(&wal.Record{Kind: wal.Taken, ID: messageID(i), Class: "alert-update", Dest: i % destinations, Deadline: deadline, Body: []byte(messageBody)},
 			func(err error) {
 				mu.Lock()
 				defer mu.Unlock()
