Have troutlab compare set two runs of bench scale side by side

Slopes before and after a change are read together. compare takes the files of bench scale as well, by quantity, with the spread over plays.

go test ./internal/lab/capacity ./internal/lab/command: ok.

--- a/internal/lab/capacity/measurement.go
+++ b/internal/lab/capacity/measurement.go
@@ -39,6 +39,9 @@
 	Ratio     float64     `json:"ratio"`        // of the value with its base to the budget; 0 where none is set
 }
 
+// Key names the measurement among all of a run.
+func (m *Measurement) Key() string { return m.Job + ": " + m.Name }
+
 // Result is one run of jobs, as a file holds it.
 type Result struct {
 	Capacity []Measurement `json:"capacity"`
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -324,6 +324,9 @@
 func compareCommand() *cobra.Command {
 	return &cobra.Command{Use: "compare A.json B.json", Short: "Set the figures of two files side by side", Args: exactly(2),
 		RunE: func(c *cobra.Command, args []string) error {
+			if ours, err := compareScale(c.OutOrStdout(), args[0], args[1]); ours {
+				return err
+			}
 			var rows [2][]report.Row
 			var runs [2][]*Summary
 			for i, path := range args {
--- a/internal/lab/command/command_test.go
+++ b/internal/lab/command/command_test.go
@@ -42,6 +42,10 @@
 	run := func(extra ...string) []string {
 		return append([]string{"run", good, "--relay", self, "--out", filepath.Join(dir, "out"), "--late", "10s"}, extra...)
 	}
+	scale := func(name string) []string {
+		return []string{"bench", "scale", "--smoke", "--only", "parse", "--relay", self, "--registry", self, "--warden", self,
+			"--out", filepath.Join(dir, "scale"), "--json", filepath.Join(dir, "scale-"+name)}
+	}
 	for _, x := range []struct {
 		name, defect string
 		args         []string
@@ -63,6 +67,10 @@
 		{"list", "", []string{"list", "--dir", filepath.Join("..", "..", "..", "lab", "scenarios")}, Kept, "smoke.toml"},
 		{"compare", "", []string{"compare", filepath.Join(dir, "a.json"), filepath.Join(dir, "b.json")}, Kept, "(2 runs)"},
 		{"compare nothing", "", []string{"compare", good, good}, Usage, "neither"},
+		{"scale", "", scale("a"), Kept, "slope x target"},
+		{"scale again", "", scale("b"), Kept, "slope x target"},
+		{"compare scale", "", []string{"compare", filepath.Join(dir, "scale-a"), filepath.Join(dir, "scale-b")}, Kept, "parse: reading a whole list"},
+		{"scale of nothing", "", append(scale("c"), "--only", "none"), Usage, "no job"},
 		{"sweep", "", []string{"sweep", good, "--relay", self, "--late", "10s", "--set", "load.rate=10,20", "--seeds", "1-2", "--out", filepath.Join(dir, "sweep")}, Kept, "sweep.svg"},
 		{"sweep a wrong key", "", []string{"sweep", good, "--relay", self, "--set", "load.rates=10", "--seeds", "1"}, Usage, "load.rates"},
 	} {
--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"path/filepath"
 	"strings"
+	"text/tabwriter"
 
 	"github.com/spf13/cobra"
 
@@ -57,3 +60,33 @@
 	}
 	return nil
 }
+
+// compareScale sets the slopes of two files of benchScale side by side; false
+// where either is no such file.
+func compareScale(w io.Writer, pathA, pathB string) (ours bool, err error) {
+	a, errA := capacity.Load(pathA)
+	b, errB := capacity.Load(pathB)
+	if errA != nil || errB != nil {
+		return false, nil
+	}
+	others := map[string]*capacity.Measurement{}
+	for i := range b.Capacity {
+		others[b.Capacity[i].Key()] = &b.Capacity[i]
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "quantity\tunit\tslope in %s\tslope in %s\tB/A\tat the target\tB\n", pathA, pathB)
+	for i := range a.Capacity {
+		m := &a.Capacity[i]
+		o, ok := others[m.Key()]
+		if !ok {
+			continue
+		}
+		by := "-"
+		if m.Slope != 0 {
+			by = fmt.Sprintf("%.3f", o.Slope/m.Slope)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%.4g (%.4g to %.4g)\t%.4g (%.4g to %.4g)\t%s\t%.4g\t%.4g\n", m.Key(), m.Unit,
+			m.Slope, m.SlopeMin, m.SlopeMax, o.Slope, o.SlopeMin, o.SlopeMax, by, m.WithBase, o.WithBase)
+	}
+	return true, t.Flush()
+}
