--- a/internal/lab/capacity/policy_jobs.go
+++ b/internal/lab/capacity/policy_jobs.go
@@ -78,47 +78,61 @@
 	first := d.step(whole)
 	memory := heapBytes() - before
 	again := d.step(whole)
+	changed := d.changes(size)
+	told, err := d.deliveries(0, min(size/4, 20), decide.Load{Left: 0.5, Limit: 100, Told: true})
+	if err != nil {
+		return nil, err
+	}
+	untold, err := d.deliveries(size/4, min(size/4, 20), decide.Load{})
+	if err != nil {
+		return nil, err
+	}
+	failed, err := d.trials(size - 1)
+	runtime.KeepAlive(all)
+	return []float64{first.Seconds() * 1e3, max(memory, 0) / 1e6, again.Seconds() * 1e3, changed, told, untold, failed}, err
+}
+
+// changes gives the mean time of a member's change, over members that drain and
+// come back.
+func (d *driver) changes(members int) float64 {
 	const changes = 2000
-	var changed, failed time.Duration
+	var took time.Duration
 	for i := range changes {
 		d.now += policyMoment
 		state := decide.Draining
 		if i%2 == 1 {
 			state = decide.Ready
 		}
-		changed += d.step(decide.Event{Kind: decide.EvList, List: decide.ListChange, Entries: []decide.Entry{entry(i/2%size, state)}})
+		took += d.step(decide.Event{Kind: decide.EvList, List: decide.ListChange, Entries: []decide.Entry{entry(i/2%members, state)}})
 	}
-	told, err := d.deliveries(0, min(size/4, 20), decide.Load{Left: 0.5, Limit: 100, Told: true})
-	if err != nil {
-		return nil, err
-	}
-	untold, err := d.deliveries(size/4, min(size/4, 20), decide.Load{})
-	if err != nil {
-		return nil, err
+	return micros(took, changes)
+}
+
+// trials gives the mean time of a failed call of one destination that is down,
+// with a few messages waiting there.
+func (d *driver) trials(destination int) (float64, error) {
+	const waiting, most = 20, 200
+	for range waiting {
+		d.step(d.message(destination, safeClass))
 	}
+	var took time.Duration
 	trials := 0
-	down := size - 1
-	for range 20 {
-		d.step(d.message(down, safeClass))
-	}
-	for end := d.now + 600e6; d.now < end && trials < 200; d.now += policyMoment * 10 {
+	for end := d.now + policyWait/6; d.now < end && trials < most; d.now += policyMoment * 10 {
 		d.step(decide.Event{Kind: decide.EvTimer})
 		for len(d.out) > 0 {
 			e, err := d.outcome(decide.NoConnect, 0)
 			if err != nil {
-				return nil, err
+				return 0, err
 			}
-			failed += d.step(e)
+			took += d.step(e)
 			trials++
 		}
 		if d.ended > 0 { // what was given up is handed in anew
 			d.ended = 0
-			d.step(d.message(down, safeClass))
+			d.step(d.message(destination, safeClass))
 		}
 	}
-	runtime.KeepAlive(all)
-	return []float64{first.Seconds() * 1e3, max(memory, 0) / 1e6, again.Seconds() * 1e3, micros(changed, changes),
-		told, untold, micros(failed, max(trials, 1))}, nil
+	return micros(took, max(trials, 1)), nil
 }
 
 // deliveries gives the mean time of a message handed in and its answer with a
@@ -252,38 +266,56 @@
 	}
 	memory := heapBytes() - before
 	runtime.KeepAlive(d)
-	values := []float64{max(memory, 0) / 1e6}
-	const rounds = 100
-	for _, class := range []int{safeClass, unsafeClass} {
-		var took time.Duration
-		for i := range rounds {
-			d.now += policyMoment
-			took += d.step(d.message(i%destinationsUp, class))
-			for len(d.out) > 0 {
-				e, err := d.outcome(decide.Delivered, 0)
-				if err != nil {
-					return nil, err
-				}
-				took += d.step(e)
+	safe, err := d.ofClass(safeClass)
+	if err != nil {
+		return nil, err
+	}
+	unsafe, err := d.ofClass(unsafeClass)
+	if err != nil {
+		return nil, err
+	}
+	full, err := d.withAllSlots()
+	return []float64{max(memory, 0) / 1e6, safe, unsafe, full}, err
+}
+
+const timedRounds = 100
+
+// ofClass gives the mean time of a message of a class and its answer, at
+// destinations that are up.
+func (d *driver) ofClass(class int) (float64, error) {
+	var took time.Duration
+	for i := range timedRounds {
+		d.now += policyMoment
+		took += d.step(d.message(i%destinationsUp, class))
+		for len(d.out) > 0 {
+			e, err := d.outcome(decide.Delivered, 0)
+			if err != nil {
+				return 0, err
 			}
+			took += d.step(e)
 		}
-		values = append(values, micros(took, rounds))
 	}
-	for i := range 4 * policySlots { // more than the slots
+	return micros(took, timedRounds), nil
+}
+
+// withAllSlots gives the mean time of an answer while every slot has a call of an
+// unsafe message and more of them wait.
+func (d *driver) withAllSlots() (float64, error) {
+	for i := range 4 * policySlots {
 		d.now += policyMoment
 		d.step(d.message(i%destinationsUp, unsafeClass))
 	}
 	var took time.Duration
 	n := 0
-	for ; n < rounds && len(d.out) > 0; n++ {
+	for ; n < timedRounds && len(d.out) > 0; n++ {
 		d.now += policyMoment
 		e, err := d.outcome(decide.Delivered, 0)
 		if err != nil {
-			return nil, err
+			return 0, err
 		}
 		took += d.step(e)
 	}
-	return append(values, micros(took, max(n, 1))), nil
+	return micros(took, max(n, 1)), nil
 }
 
 // shed times messages handed in to a policy that holds all that it may.
