Measure an idle relay up to 30,000 members: it cannot read the list of 31,000

With ids of 10 letters the whole list of 31,000 members is 4,194.4 KB (job parse), over the 4 MiB (4,194.3 KB) that discovery reads of one. A relay without a list from before then never opens its watch: the run at 31,000 ended after its 60 s. The job ends at 30,000 instead.

go test ./internal/lab/capacity: ok.

--- a/internal/lab/capacity/relay_jobs.go
+++ b/internal/lab/capacity/relay_jobs.go
@@ -31,10 +31,11 @@
 		return Quantity{Role: "relay", Name: name, Unit: unit, SizeUnit: sizeUnit, Target: target, Budget: budget}
 	}
 	return []job{
-		{name: "relay-idle", sizes: memberSizes, smoke: smokeSizes, run: relayIdle, quantities: []Quantity{
-			quantity("idle", "% of a core", list, targetMembers, budgetCore), quantity("memory, steady", "MB", list, targetMembers, budgetMemory),
-			quantity("memory, most since the start", "MB", list, targetMembers, budgetMemory), quantity("bytes with its agent at a start", "KB", list, targetMembers, 0),
-			quantity("bytes with its agent, idle", "KB/s", list, targetMembers, budgetBytes), quantity("from its first start until it serves, its turn in the fleet included", "ms", list, targetMembers, 0)}},
+		{name: "relay-idle", sizes: []int{300, 1000, 3000, 10_000, 30_000}, // a whole list of 31,000 is over what the relay reads
+			smoke: smokeSizes, run: relayIdle, quantities: []Quantity{
+				quantity("idle", "% of a core", list, targetMembers, budgetCore), quantity("memory, steady", "MB", list, targetMembers, budgetMemory),
+				quantity("memory, most since the start", "MB", list, targetMembers, budgetMemory), quantity("bytes with its agent at a start", "KB", list, targetMembers, 0),
+				quantity("bytes with its agent, idle", "KB/s", list, targetMembers, budgetBytes), quantity("from its first start until it serves, its turn in the fleet included", "ms", list, targetMembers, 0)}},
 		{name: "relay-down", sizes: memberSizes, smoke: smokeSizes, run: relayDown, quantities: []Quantity{
 			quantity("processor with 2,000 owed to 589 destinations that refuse", "% of a core", list, targetMembers, 100),
 			quantity("until all is read, the same", "ms", list, targetMembers, 10_000),
