--- /dev/null
+++ b/internal/lab/capacity/fit.go
@@ -0,0 +1,66 @@
+package capacity
+
+import (
+	"math"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// fit works out all of a measurement that follows from its sizes and values.
+func (m *Measurement) fit() {
+	sizes, values := m.pairs(-1)
+	m.Intercept, m.Slope = stat.LinearRegression(sizes, values, nil, false)
+	m.SlopeMin, m.SlopeMax = m.Slope, m.Slope
+	plays := len(m.Values[0])
+	for play := range plays {
+		x, y := m.pairs(play)
+		_, slope := stat.LinearRegression(x, y, nil, false)
+		m.SlopeMin, m.SlopeMax = min(m.SlopeMin, slope), max(m.SlopeMax, slope)
+	}
+	factor, exponent := powerLaw(sizes, values)
+	m.Exponent = exponent
+	m.AtTarget = m.Slope * m.Target
+	m.WithBase = m.AtTarget + max(m.Intercept, 0)
+	m.ByPower = factor * math.Pow(m.Target, exponent)
+	var x, y []float64 // of the two largest sizes
+	top := max(0, len(m.Sizes)-2)
+	for i := top; i < len(m.Sizes); i++ {
+		for _, v := range m.Values[i] {
+			x, y = append(x, m.Sizes[i]), append(y, v)
+		}
+	}
+	_, m.TopGrowth = powerLaw(x, y)
+	if m.Budget > 0 {
+		m.Ratio = m.WithBase / m.Budget
+	}
+}
+
+// pairs gives sizes and values of one play; of all for a negative play.
+func (m *Measurement) pairs(play int) (sizes, values []float64) {
+	for i, size := range m.Sizes {
+		for k, v := range m.Values[i] {
+			if play < 0 || k == play {
+				sizes, values = append(sizes, size), append(values, v)
+			}
+		}
+	}
+	return sizes, values
+}
+
+// powerLaw fits values = factor x size^exponent by least squares on logarithmic
+// scales. Values of 0, which were too small to be measured, are left out; where
+// fewer than two sizes are left, nothing is known and both are 0.
+func powerLaw(sizes, values []float64) (factor, exponent float64) {
+	var x, y []float64
+	for i := range sizes {
+		if values[i] > 0 {
+			x, y = append(x, math.Log(sizes[i])), append(y, math.Log(values[i]))
+		}
+	}
+	if len(x) < 2 || slices.Max(x) == slices.Min(x) {
+		return 0, 0
+	}
+	a, b := stat.LinearRegression(x, y, nil, false)
+	return math.Exp(a), b
+}
--- /dev/null
+++ b/internal/lab/command/scale.go
@@ -0,0 +1,92 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"troutusher/internal/lab/capacity"
+)
+
+// benchScale measures what each role costs at several sizes.
+func benchScale() *cobra.Command {
+	o := capacity.Options{}
+	var file string
+	c := &cobra.Command{Use: "scale", Short: "What each role costs at several sizes, as slopes up to the target size", Args: exactly(0),
+		Long: "What each role costs at several sizes, as slopes up to the target size.\n\nJobs: " + strings.Join(capacity.Names(), ", "),
+		RunE: func(c *cobra.Command, _ []string) (err error) {
+			if err := findPrograms(&o); err != nil {
+				return err
+			}
+			o.Out, o.Say = benchOut(c, o.Out, "scale")
+			result, err := capacity.Run(c.Context(), o)
+			if result == nil {
+				return usageError{err}
+			}
+			if file == "" {
+				file = filepath.Join(o.Out, "bench.json")
+			}
+			return errors.Join(result.Table(c.OutOrStdout()), result.Save(file), err)
+		}}
+	c.Flags().StringSliceVar(&o.Only, "only", nil, "these jobs alone")
+	c.Flags().IntSliceVar(&o.Sizes, "sizes", nil, "in place of each job's own")
+	c.Flags().IntVar(&o.Plays, "plays", 3, "runs of each size")
+	c.Flags().BoolVar(&o.Smoke, "smoke", false, "small sizes, one play: whether it works, not what it costs")
+	c.Flags().StringVar(&file, "json", "", "file of the measurements, for compare (default: bench.json in the folder)")
+	c.Flags().StringVar(&o.Out, "out", "", "folder, on the disk that is measured (default: lab-out/bench-scale-TIME)")
+	c.Flags().StringVar(&o.Relay, "relay", "", "the relay's program (default: troutusher beside this one)")
+	c.Flags().StringVar(&o.Registry, "registry", "", "the list service's program (default: troutregistry beside this one)")
+	c.Flags().StringVar(&o.Warden, "warden", "", "the wardens' program (default: troutwarden beside this one)")
+	return c
+}
+
+// findPrograms puts in the programs that are not named.
+func findPrograms(o *capacity.Options) error {
+	for _, x := range []struct {
+		path   *string
+		beside string
+		flag   string
+	}{{&o.Relay, "troutusher", "relay"}, {&o.Registry, "troutregistry", "registry"}, {&o.Warden, "troutwarden", "warden"}} {
+		path, err := find(*x.path, x.beside, x.flag)
+		if err != nil {
+			return err
+		}
+		*x.path = path
+	}
+	return nil
+}
+
+// compareScale sets the slopes of two files of benchScale side by side; false
+// where either is no such file.
+func compareScale(w io.Writer, pathA, pathB string) (ours bool, err error) {
+	a, errA := capacity.Load(pathA)
+	b, errB := capacity.Load(pathB)
+	if errA != nil || errB != nil {
+		return false, nil
+	}
+	others := map[string]*capacity.Measurement{}
+	for i := range b.Capacity {
+		others[b.Capacity[i].Key()] = &b.Capacity[i]
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "quantity\tunit\tslope in %s\tslope in %s\tB/A\tat the target\tB\n", pathA, pathB)
+	for i := range a.Capacity {
+		m := &a.Capacity[i]
+		o, ok := others[m.Key()]
+		if !ok {
+			continue
+		}
+		by := "-"
+		if m.Slope != 0 {
+			by = fmt.Sprintf("%.3f", o.Slope/m.Slope)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%.4g (%.4g to %.4g)\t%.4g (%.4g to %.4g)\t%s\t%.4g\t%.4g\n", m.Key(), m.Unit,
+			m.Slope, m.SlopeMin, m.SlopeMax, o.Slope, o.SlopeMin, o.SlopeMax, by, m.WithBase, o.WithBase)
+	}
+	return true, t.Flush()
+}
