--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -49,7 +49,7 @@
 	root.SetOut(out)
 	root.SetErr(errOut)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(upCommand(), runCommand(), listCommand(), checkCommand(), compareCommand(), sweepCommand(), benchCommand())
+	root.AddCommand(upCommand(), runCommand(), listCommand(), checkCommand(), compareCommand(), sweepCommand(), benchCommand(), hollowCommand())
 	err := root.ExecuteContext(ctx)
 	var bad *scenario.Error
 	var usage usageError
@@ -141,11 +141,17 @@
 			}
 		}
 	}
+	self := ""
+	if s.Scale.Relays > 0 {
+		if self, err = os.Executable(); err != nil {
+			return nil, fmt.Errorf("where is this program: %w", err)
+		}
+	}
 	out := f.out
 	if out == "" {
 		out = filepath.Join("lab-out", fmt.Sprintf("%s-%d-%s", s.Name, f.seed, time.Now().Format("20060102T150405.000")))
 	}
-	res, err := lab.Run(c.Context(), lab.Options{Scenario: s, Seed: f.seed, Out: out, Program: program, First: f.first, Registry: registry, Warden: warden, Keep: f.keep, Late: f.late, Watch: watch})
+	res, err := lab.Run(c.Context(), lab.Options{Scenario: s, Seed: f.seed, Out: out, Program: program, First: f.first, Registry: registry, Warden: warden, Hollow: self, Keep: f.keep, Late: f.late, Watch: watch})
 	if res == nil {
 		return nil, err
 	}
@@ -153,30 +159,40 @@
 	if err != nil {
 		sum.Void = err.Error()
 	}
+	if res.Scale != nil {
+		sum.Stats = &report.Stats{Own: res.Scale.Figures()}
+		return sum, errors.Join(err, f.keepSummary(out, sum))
+	}
 	stats, serr := report.Collect(filepath.Join(out, "history.jsonl"))
 	if serr != nil {
 		return nil, serr
 	}
 	sum.Stats = stats
-	text, jerr := json.MarshalIndent(sum, "", " ")
-	if jerr != nil {
-		return nil, fmt.Errorf("summary: %w", jerr)
-	}
-	if werr := os.WriteFile(filepath.Join(out, "summary.json"), text, 0o644); werr != nil {
-		return nil, fmt.Errorf("summary: %w", werr)
-	}
 	if werr := report.Write(out, report.Page{Title: s.Name, Seed: f.seed, Verdict: res.Verdict, Plan: res.Plan, Stats: stats,
 		Late: fmt.Sprintf("p99 %v, at most %v", res.LateP99, res.LateMax)}); werr != nil {
 		return nil, werr
 	}
-	if f.json != "" {
-		if aerr := addSummary(f.json, sum); aerr != nil {
-			return nil, aerr
-		}
+	if werr := f.keepSummary(out, sum); werr != nil {
+		return nil, werr
 	}
 	return sum, err
 }
 
+// keepSummary writes a run's summary to its folder, and adds it to the file of several.
+func (f *running) keepSummary(out string, sum *Summary) error {
+	text, err := json.MarshalIndent(sum, "", " ")
+	if err != nil {
+		return fmt.Errorf("summary: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(out, "summary.json"), text, 0o644); err != nil {
+		return fmt.Errorf("summary: %w", err)
+	}
+	if f.json == "" {
+		return nil
+	}
+	return addSummary(f.json, sum)
+}
+
 // verdict prints what a run came to, and gives the error that its exit code is of.
 func verdict(w io.Writer, s *Summary, err error) error {
 	if s == nil {
@@ -188,10 +204,21 @@
 	for _, b := range s.Verdict.Broken {
 		fmt.Fprintln(w, "BROKEN", b)
 	}
+	if s.Scale != nil {
+		fmt.Fprintf(w, "%s seed %d in %.0f s; lab late p99 %v\n", s.Name, s.Seed, s.Took.Seconds(), s.LateP99)
+		s.Scale.Print(w)
+		fmt.Fprintln(w, "judged:", s.Verdict.Judged, "excused:", s.Verdict.Excused)
+		return ending(w, s, err)
+	}
 	st := s.Stats
 	fmt.Fprintf(w, "%s seed %d: worth served %.3f (worst 10 s %.3f), %d messages, %d delivered, %d refused, %d given up, p50 %.0f ms, p99 %.0f ms; lab late p99 %v\n",
 		s.Name, s.Seed, st.Served, st.Worst, st.Messages, st.Delivered, st.Refused, st.GivenUp, st.P50MS, st.P99MS, s.LateP99)
 	fmt.Fprintln(w, "report:", filepath.Join(s.Out, "report.html"))
+	return ending(w, s, err)
+}
+
+// ending prints whether every promise was kept, and gives the error of the exit code.
+func ending(w io.Writer, s *Summary, err error) error {
 	switch {
 	case err != nil:
 		fmt.Fprintln(w, "VOID:", err)
@@ -339,8 +366,8 @@
 			}
 			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 			fmt.Fprintf(w, "figure\t%s (%d runs)\t%s (%d runs)\tB/A\n", args[0], len(runs[0]), args[1], len(runs[1]))
-			for i := range rows[0] {
-				a, b := rows[0][i], rows[1][i]
+			for _, pair := range pairs(rows[0], rows[1]) {
+				a, b := pair[0], pair[1]
 				ma, _, _ := a.Mean()
 				mb, _, _ := b.Mean()
 				by := "-"
@@ -354,7 +381,33 @@
 		}}
 }
 
+// pairs sets rows of one name side by side; where one side lacks it, its row has no
+// values.
+func pairs(a, b []report.Row) (out [][2]report.Row) {
+	byName := map[string]report.Row{}
+	for _, row := range b {
+		byName[row.Name] = row
+	}
+	for _, row := range a {
+		other, ok := byName[row.Name]
+		if !ok {
+			other = report.Row{Name: row.Name, Unit: row.Unit}
+		}
+		delete(byName, row.Name)
+		out = append(out, [2]report.Row{row, other})
+	}
+	for _, row := range b {
+		if _, left := byName[row.Name]; left {
+			out = append(out, [2]report.Row{{Name: row.Name, Unit: row.Unit}, row})
+		}
+	}
+	return out
+}
+
 func spread(r report.Row) string {
+	if len(r.Values) == 0 {
+		return "-"
+	}
 	m, low, high := r.Mean()
 	if len(r.Values) < 2 {
 		return strings.TrimSpace(fmt.Sprintf("%.4g %s", m, r.Unit))
--- /dev/null
+++ b/internal/lab/hollow/relays/process.go
@@ -0,0 +1,122 @@
+// Package relays are hollow relays: the real watch, list, notices, policy and log
+// of a relay, with a synthetic stream of messages and outcomes in place of clients
+// and endpoints. It promises what package hollow says of them. It is run as a
+// process of its own, so that the lab links none of the relay's code.
+package relays
+
+import (
+	"context"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"troutusher/internal/lab/hollow"
+)
+
+const latestMost = 60_000_000 // µs that lateness is told up to
+
+// lateness is that of all relays of a process.
+type lateness struct {
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+}
+
+func (l *lateness) book(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hist.RecordValue(min(max(1, d.Microseconds()), latestMost))
+}
+
+func (l *lateness) told() (p99, most time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.hist.ValueAtQuantile(99)) * time.Microsecond, time.Duration(l.hist.Max()) * time.Microsecond
+}
+
+// Main runs the hollow relays of a configuration until hollow.End, or until ctx ends.
+// Lines of hollow.Status go to out, and what goes wrong to errOut.
+func Main(ctx context.Context, path string, out, errOut io.Writer) error {
+	signals := make(chan os.Signal, 8) // before anything else: unhandled, they would end the process
+	signal.Notify(signals, hollow.Begin, hollow.Pause, hollow.End)
+	defer signal.Stop(signals)
+	c, err := hollow.LoadConfig(path)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(errOut, &slog.HandlerOptions{Level: slog.LevelWarn}))
+	late := &lateness{hist: hdrhistogram.New(1, latestMost, 3)}
+	var relays []*relay
+	for i := range c.Settings {
+		r, err := newRelay(c, i, log, late.book)
+		if err != nil {
+			return err
+		}
+		relays = append(relays, r)
+	}
+	var all sync.WaitGroup
+	for _, r := range relays {
+		all.Add(1)
+		go func() { defer all.Done(); r.run() }()
+	}
+	tick := time.NewTicker(hollow.StatusEvery)
+	defer tick.Stop()
+	lines := json.NewEncoder(out)
+	for ended := false; !ended; {
+		select {
+		case <-ctx.Done():
+			ended = true
+		case s := <-signals:
+			ended = s == hollow.End
+			tell(relays, s)
+		case <-tick.C:
+			if err := lines.Encode(status(relays, late)); err != nil {
+				return fmt.Errorf("hollow: status: %w", err)
+			}
+		}
+	}
+	tell(relays, hollow.End)
+	all.Wait()
+	return write(c.Result, relays, late)
+}
+
+// tell passes a signal on to all relays.
+func tell(relays []*relay, s os.Signal) {
+	for _, r := range relays {
+		r.in.Put(event{order: map[os.Signal]order{hollow.Begin: orderBegin, hollow.Pause: orderPause, hollow.End: orderEnd}[s]})
+	}
+}
+
+func status(relays []*relay, late *lateness) hollow.Status {
+	s := hollow.Status{Relays: len(relays), Hashes: map[string]int{}, Members: map[int]int{}}
+	for _, r := range relays {
+		r.status(&s)
+	}
+	s.LateP99, s.LateMax = late.told()
+	return s
+}
+
+// write keeps the result of a process.
+func write(path string, relays []*relay, late *lateness) (err error) {
+	var result hollow.Result
+	for _, r := range relays {
+		result.Relays = append(result.Relays, r.result())
+	}
+	result.LateP99, result.LateMax = late.told()
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("hollow: %w", err)
+	}
+	if err := gob.NewEncoder(f).Encode(result); err != nil {
+		f.Close()
+		return fmt.Errorf("hollow: %w", err)
+	}
+	return f.Close()
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -39,6 +39,7 @@
 	First    string   // another that each relay runs first, such as an older one; empty for none
 	Registry string   // the list service's, where the scenario has one
 	Warden   string   // the wardens', where it has them
+	Hollow   string   // the hollow relays' (this one, run with the word hollow), where it has them
 	Args     []string // of it
 	Env      []string // added to its environment
 	Keep     bool     // of a kept run: the relays' folders too
@@ -74,6 +75,7 @@
 	LabCPU  time.Duration `json:"lab_cpu_ns"`
 	LabRSS  int64         `json:"lab_rss_bytes"`
 	Took    time.Duration `json:"took_ns"`
+	Scale   *ScaleReport  `json:"scale,omitempty"` // of a scale scenario
 }
 
 // run is one scenario while it runs.
@@ -119,6 +121,9 @@
 	if err := os.MkdirAll(o.Out, 0o755); err != nil {
 		return nil, fmt.Errorf("lab: %w", err)
 	}
+	if o.Scenario.Scale.Relays > 0 {
+		return runScale(ctx, o)
+	}
 	ip, lock, err := claim()
 	if err != nil {
 		return nil, err
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"troutusher/internal/lab/history"
+	"troutusher/internal/lab/hollow/relays"
 	"troutusher/internal/lab/scenario"
 	"troutusher/internal/lab/standin"
 )
@@ -29,6 +30,12 @@
 
 func TestMain(m *testing.M) {
 	switch {
+	case len(os.Args) == 3 && os.Args[1] == "hollow":
+		if err := relays.Main(context.Background(), os.Args[2], os.Stdout, os.Stderr); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
 	case os.Getenv(standinEnv) != "":
 		os.Exit(standin.Main(os.Getenv))
 	case os.Getenv(labEnv) != "":
--- a/internal/lab/report/stats.go
+++ b/internal/lab/report/stats.go
@@ -35,6 +35,7 @@
 	MaxRSS     map[string]int64   `json:"max_rss_bytes"`
 	MaxFDs     map[string]int     `json:"max_fds"`
 	CPU        map[string]float64 `json:"cpu_s"`
+	Own        []Figure           `json:"own,omitempty"` // of a kind of run that has figures of its own
 	series     series
 }
 
@@ -236,6 +237,9 @@
 
 // Figures are those that are set side by side.
 func Figures(runs []*Stats) []Row {
+	if len(runs) > 0 && len(runs[0].Own) > 0 {
+		return ownFigures(runs)
+	}
 	rows := []Row{}
 	for _, f := range []struct {
 		name, unit string
@@ -290,3 +294,27 @@
 	}
 	return mean / float64(len(r.Values)), slices.Min(r.Values), slices.Max(r.Values)
 }
+
+// Figure is one that a kind of run has in place of the usual ones.
+type Figure struct {
+	Name  string  `json:"name"`
+	Unit  string  `json:"unit"`
+	Value float64 `json:"value"`
+}
+
+// ownFigures are the rows of runs that have figures of their own: a figure that a
+// run lacks has no value in its row.
+func ownFigures(runs []*Stats) (rows []Row) {
+	place := map[string]int{}
+	for _, s := range runs {
+		for _, f := range s.Own {
+			if _, known := place[f.Name]; !known {
+				place[f.Name] = len(rows)
+				rows = append(rows, Row{Name: f.Name, Unit: f.Unit})
+			}
+			row := &rows[place[f.Name]]
+			row.Values = append(row.Values, f.Value)
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/lab/scale_clients.go
@@ -0,0 +1,132 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"troutusher/internal/lab/model"
+	"troutusher/internal/lab/scenario"
+)
+
+const (
+	scalePatience = 2 * time.Second // of a client for its answer
+	idleMost      = 64              // connections that are kept to one relay
+)
+
+// scaleClients hand messages in to one real relay by an open loop, as many as a
+// hollow one draws.
+type scaleClients struct {
+	scen   *scenario.Scenario
+	addr   string
+	random *rand.Rand
+	late   func(time.Duration)
+	idle   chan *scaleConn
+
+	offered, taken, refused, unheard atomic.Int64
+}
+
+type scaleConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func newScaleClients(s *scenario.Scenario, addr string, random *rand.Rand, late func(time.Duration)) *scaleClients {
+	return &scaleClients{scen: s, addr: addr, random: random, late: late, idle: make(chan *scaleConn, idleMost)}
+}
+
+// run hands messages in until ctx ends, and returns once each has its answer.
+func (c *scaleClients) run(ctx context.Context, relay int) {
+	var wg sync.WaitGroup
+	defer c.close()
+	defer wg.Wait()
+	if c.scen.Scale.Rate == 0 {
+		return
+	}
+	due := time.Now()
+	for n := 0; ; n++ {
+		due = due.Add(time.Duration(c.random.ExpFloat64() / c.scen.Scale.Rate * float64(time.Second)))
+		if !model.Pause(ctx, time.Until(due)) {
+			return
+		}
+		c.late(time.Since(due))
+		class := 0
+		if c.random.Float64() >= model.Classes()[0].Share {
+			class = 1
+		}
+		text := c.request(fmt.Sprintf("%08x%08x", relay, n), class, c.random.IntN(c.scen.Scale.Members))
+		c.offered.Add(1)
+		wg.Add(1)
+		go func() { defer wg.Done(); c.hand(text) }()
+	}
+}
+
+// request is MSG.PUT; the first byte of the body names the class to the endpoint.
+func (c *scaleClients) request(id string, class, dest int) []byte {
+	fields := fmt.Sprintf("c=%s,d=%d,dest=%d", model.Classes()[class].Name, scenario.Secs(c.scen.Scale.Deadline).Milliseconds(), dest)
+	body := fmt.Sprint(class) + strings.Repeat("x", scaleBody-1)
+	out := []byte("*5\r\n")
+	for _, s := range []string{"MSG.PUT", "0000000000000000", id, fields, body} {
+		out = fmt.Appendf(out, "$%d\r\n%s\r\n", len(s), s)
+	}
+	return out
+}
+
+func (c *scaleClients) hand(text []byte) {
+	line, err := c.ask(text)
+	switch {
+	case err != nil:
+		c.unheard.Add(1)
+	case strings.HasPrefix(line, "+"), strings.HasPrefix(line, "$"):
+		c.taken.Add(1)
+	default:
+		c.refused.Add(1)
+	}
+}
+
+// ask sends a request on a kept connection, or on a new one.
+func (c *scaleClients) ask(text []byte) (string, error) {
+	var x *scaleConn
+	select {
+	case x = <-c.idle:
+	default:
+		conn, err := net.DialTimeout("tcp4", c.addr, scalePatience)
+		if err != nil {
+			return "", err
+		}
+		x = &scaleConn{conn, bufio.NewReader(conn)}
+	}
+	x.SetDeadline(time.Now().Add(scalePatience))
+	if _, err := x.Write(text); err != nil {
+		x.Close()
+		return "", err
+	}
+	line, err := x.in.ReadString('\n')
+	if err != nil || strings.HasPrefix(line, "$") { // a bulk string: its text is of no use, nor the connection then
+		x.Close()
+		return line, err
+	}
+	select {
+	case c.idle <- x:
+	default:
+		x.Close()
+	}
+	return line, nil
+}
+
+func (c *scaleClients) close() {
+	for {
+		select {
+		case x := <-c.idle:
+			x.Close()
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale_endpoints.go
@@ -0,0 +1,163 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"troutusher/internal/lab/hollow"
+	"troutusher/internal/lab/model"
+)
+
+const (
+	downEvery  = 100 * time.Millisecond // destinations go down and come back so often
+	downFiller = 200 * time.Millisecond // until the queue of one that is down counts as full
+	endpointIP = "127.%d.%d.%d"
+	loopback   = "lo"
+	// SO_REUSEPORT of Linux, which package syscall does not name.
+	reusePort = 15
+)
+
+// farSide is the endpoints of all destinations: one listener takes what comes to
+// any address of the loopback device at its port, so that each member has an
+// address of its own and none costs a descriptor. For a destination that is
+// down, a listener of that address alone, whose queue is full, lets no
+// connection through.
+type farSide struct {
+	port      int
+	classes   map[byte]hollow.StreamClass
+	server    *http.Server
+	delivered atomic.Int64
+
+	mu   sync.Mutex
+	down map[int]*closedDoor
+}
+
+// closedDoor is an address that answers no connection.
+type closedDoor struct {
+	listener net.Listener
+	fillers  []net.Conn
+}
+
+func (d *closedDoor) close() {
+	d.listener.Close()
+	for _, c := range d.fillers {
+		c.Close()
+	}
+}
+
+// listenLoopback listens at any address of the loopback device, or at one.
+func listenLoopback(ctx context.Context, addr string) (net.Listener, error) {
+	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var fault error
+		err := raw.Control(func(fd uintptr) {
+			fault = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, reusePort, 1),
+				syscall.SetsockoptString(int(fd), syscall.SOL_SOCKET, syscall.SO_BINDTODEVICE, loopback))
+		})
+		return errors.Join(err, fault)
+	}}
+	ln, err := c.Listen(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("lab: endpoints: %w", err)
+	}
+	return ln, nil
+}
+
+// newFarSide serves all endpoints until it is closed.
+func newFarSide(ctx context.Context) (*farSide, error) {
+	ln, err := listenLoopback(ctx, ":0")
+	if err != nil {
+		return nil, err
+	}
+	f := &farSide{port: ln.Addr().(*net.TCPAddr).Port, down: map[int]*closedDoor{}, classes: map[byte]hollow.StreamClass{}}
+	for i, c := range model.Classes() {
+		f.classes[byte('0'+i)] = hollow.StreamClass{Name: c.Name, Share: c.Share, Took: c.Took}
+	}
+	f.server = &http.Server{Handler: http.HandlerFunc(f.serve), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
+	go f.server.Serve(ln)
+	return f, nil
+}
+
+// address is that of one member.
+func (f *farSide) address(member int) string {
+	return net.JoinHostPort(fmt.Sprintf(endpointIP, 130+member/62500, member/250%250, 1+member%250), strconv.Itoa(f.port))
+}
+
+// serve takes one message. The first byte of its body names its class.
+func (f *farSide) serve(w http.ResponseWriter, r *http.Request) {
+	body := make([]byte, 1)
+	if n, _ := r.Body.Read(body); n != 1 || r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	took := f.classes[body[0]].Took
+	if !model.Pause(r.Context(), (took[0]+took[1])/2) {
+		return
+	}
+	f.delivered.Add(1)
+	w.Header().Set("X-Server-Load", "x0=1.000,x1=0.00")
+	w.WriteHeader(http.StatusOK)
+}
+
+// keepDown has the destinations that are down answer no connection, until ctx ends.
+func (f *farSide) keepDown(ctx context.Context, down *hollow.Down, destinations int, fail func(error)) {
+	for model.Pause(ctx, downEvery) {
+		now := time.Now().UnixMicro()
+		for i := range destinations {
+			f.mu.Lock()
+			door := f.down[i]
+			f.mu.Unlock()
+			switch is := down.At(i, now); {
+			case is && door == nil:
+				if err := f.shut(ctx, i); err != nil {
+					fail(err)
+					return
+				}
+			case !is && door != nil:
+				door.close()
+				f.mu.Lock()
+				delete(f.down, i)
+				f.mu.Unlock()
+			}
+		}
+	}
+}
+
+// shut has one destination answer no connection: the queue of its own listener
+// is as short as can be, and full.
+func (f *farSide) shut(ctx context.Context, member int) error {
+	ln, err := listenLoopback(ctx, f.address(member))
+	if err != nil {
+		return err
+	}
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return fmt.Errorf("lab: endpoints: %w", err)
+	}
+	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
+	door := &closedDoor{listener: ln}
+	c, err := net.DialTimeout("tcp4", f.address(member), downFiller)
+	if err == nil {
+		door.fillers = append(door.fillers, c)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[member] = door
+	return nil
+}
+
+func (f *farSide) close() {
+	f.server.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, door := range f.down {
+		door.close()
+	}
+}
--- /dev/null
+++ b/internal/lab/scale_figures.go
@@ -0,0 +1,247 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"troutusher/internal/lab/process"
+	"troutusher/internal/lab/report"
+)
+
+// What the control of a relay may cost, and how soon a change is to be in force.
+const (
+	budgetCPU      = 3.4 // % of a core
+	budgetMemoryMB = 256
+	budgetKB       = 30.0 // a second
+	budgetForce    = 16 * time.Second
+)
+
+// Parts of a scale run.
+const (
+	partQuiet   = "quiet"
+	partControl = "control"
+	partLoad    = "load"
+)
+
+var scaleParts = []string{partQuiet, partControl, partLoad}
+
+// ScalePart is what one unit of a role cost in one part of the run.
+type ScalePart struct {
+	CPU      float64 `json:"cpu_percent"` // of a core
+	MemoryMB float64 `json:"memory_mb"`   // at its end
+	KB       float64 `json:"kb_a_second"` // of control: between relay and agent, or agent and nodes
+}
+
+// ScaleRole is what one role cost, each figure for one unit of it.
+type ScaleRole struct {
+	Name    string               `json:"name"`
+	Units   int                  `json:"units"`
+	Parts   map[string]ScalePart `json:"parts"`
+	PeakMB  float64              `json:"peak_mb"`  // the largest mean over the units, of samples
+	StartMB float64              `json:"start_mb"` // bytes of control until all had their list
+}
+
+// ScaleSpread is a distribution in seconds.
+type ScaleSpread struct {
+	Name    string  `json:"name"`
+	Count   int     `json:"count"`
+	Missing int     `json:"missing"` // that never came to be in force
+	P50     float64 `json:"p50_s"`
+	P99     float64 `json:"p99_s"`
+	Max     float64 `json:"max_s"`
+}
+
+func scaleSpread(name string, seconds []float64, missing int) ScaleSpread {
+	s := ScaleSpread{Name: name, Count: len(seconds), Missing: missing}
+	if len(seconds) == 0 {
+		return s
+	}
+	slices.Sort(seconds)
+	at := func(q float64) float64 { return seconds[min(len(seconds)-1, int(q*float64(len(seconds))))] }
+	s.P50, s.P99, s.Max = at(0.5), at(0.99), seconds[len(seconds)-1]
+	return s
+}
+
+// ScaleReport is what a scale run came to, beside its verdict.
+type ScaleReport struct {
+	Hollow    int           `json:"hollow"`
+	Members   int           `json:"members"`
+	ListMB    float64       `json:"list_mb"` // of the whole list, as the service sends it
+	Roles     []ScaleRole   `json:"roles"`
+	Force     []ScaleSpread `json:"force"`
+	Changes   int           `json:"changes"`
+	Register  float64       `json:"register_s"` // until all members were registered
+	Start     float64       `json:"start_s"`    // from the first process of a relay until all had the list
+	Settle    float64       `json:"settle_s"`   // after the load, until all had the service's list and nothing was owed
+	Rate      float64       `json:"rate"`       // messages a second that the hollow relays took on, together
+	Speed     float64       `json:"speed"`
+	Apart     []ScaleApart  `json:"apart"`
+	HollowP99 time.Duration `json:"hollow_late_p99_ns"`
+	Notes     []string      `json:"notes"`
+}
+
+// ScaleApart is how far a hollow relay is from a real one at the same load.
+type ScaleApart struct {
+	Name         string  `json:"name"`
+	Hollow, Real float64 `json:",omitempty"`
+	Ratio        float64 `json:"ratio"`
+}
+
+// role is a kind of process of a scale run.
+type role struct {
+	name   string
+	units  int
+	procs  []*process.Proc
+	meters []*meter
+	before usage
+	told   ScaleRole
+
+	mu   sync.Mutex
+	peak int64
+}
+
+// usage is what a role has spent and holds at one moment.
+type usage struct {
+	at    time.Time
+	cpu   time.Duration
+	rss   int64
+	bytes int64
+}
+
+func (r *role) measure() usage {
+	u := usage{at: time.Now()}
+	for _, p := range r.procs {
+		if x, err := process.Measure(p.PID); err == nil {
+			u.cpu, u.rss = u.cpu+x.CPU, u.rss+x.RSS
+		}
+	}
+	for _, m := range r.meters {
+		u.bytes += m.bytes.Load()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peak = max(r.peak, u.rss)
+	return u
+}
+
+// sample books how much memory the role holds now.
+func (r *role) sample() { r.measure() }
+
+// begin starts a part, end books it.
+func (r *role) begin() { r.before = r.measure() }
+
+func (r *role) end(part string) {
+	now, units := r.measure(), float64(r.units)
+	spent := now.at.Sub(r.before.at).Seconds()
+	r.told.Parts[part] = ScalePart{CPU: 100 * (now.cpu - r.before.cpu).Seconds() / spent / units, MemoryMB: float64(now.rss) / (1 << 20) / units,
+		KB: float64(now.bytes-r.before.bytes) / 1e3 / spent / units}
+}
+
+func (r *role) finish() ScaleRole {
+	r.told.Name, r.told.Units = r.name, r.units
+	r.told.PeakMB = float64(r.peak) / (1 << 20) / float64(r.units)
+	return r.told
+}
+
+// isRelay tells whether the budget of a relay's control is for this role.
+func isRelay(name string) bool { return name == hollowName || name == realName || name == operatedName }
+
+// Print writes the report as a table.
+func (s *ScaleReport) Print(w io.Writer) {
+	fmt.Fprintf(w, "%d hollow relays, %d members, a list of %.2f MB; %d changes, x %.0f; registered in %.1f s, relays started in %.1f s, settled in %.1f s; %.0f messages a second, hollow late p99 %v\n",
+		s.Hollow, s.Members, s.ListMB, s.Changes, s.Speed, s.Register, s.Start, s.Settle, s.Rate, s.HollowP99)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "each\tunits\tpart\tCPU, % of a core\tof budget\tmemory MB\tpeak MB\tof budget\tKB/s\tof budget\tstart MB")
+	for _, r := range s.Roles {
+		for _, part := range scaleParts {
+			p, ok := r.Parts[part]
+			if !ok {
+				continue
+			}
+			cpu, memory, bytes := "-", "-", "-"
+			if isRelay(r.Name) {
+				memory, bytes = fmt.Sprintf("%.2f", r.PeakMB/budgetMemoryMB), fmt.Sprintf("%.2f", p.KB/budgetKB)
+				if part != partLoad { // with messages it is not control alone
+					cpu = fmt.Sprintf("%.2f", p.CPU/budgetCPU)
+				}
+			}
+			fmt.Fprintf(t, "%s\t%d\t%s\t%.2f\t%s\t%.1f\t%.1f\t%s\t%.2f\t%s\t%.2f\n", r.Name, r.Units, part, p.CPU, cpu, p.MemoryMB, r.PeakMB, memory, p.KB, bytes, r.StartMB)
+		}
+	}
+	t.Flush()
+	t = tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "seconds until in force\tcount\tmissing\tp50\tp99\tmax\tmax of budget")
+	for _, f := range s.Force {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.2f\n", f.Name, f.Count, f.Missing, f.P50, f.P99, f.Max, f.Max/budgetForce.Seconds())
+	}
+	t.Flush()
+	for _, a := range s.Apart {
+		fmt.Fprintf(w, "hollow beside real, %s: %.2f and %.2f, ratio %.2f\n", a.Name, a.Hollow, a.Real, a.Ratio)
+	}
+	for _, n := range s.Notes {
+		fmt.Fprintln(w, n)
+	}
+}
+
+// Figures are those that compare sets side by side.
+func (s *ScaleReport) Figures() (all []report.Figure) {
+	add := func(name, unit string, value float64) {
+		all = append(all, report.Figure{Name: name, Unit: unit, Value: value})
+	}
+	for _, r := range s.Roles {
+		for _, part := range scaleParts {
+			if p, ok := r.Parts[part]; ok {
+				add(fmt.Sprintf("CPU, %s, %s", r.Name, part), "% of a core", p.CPU)
+				add(fmt.Sprintf("bytes, %s, %s", r.Name, part), "KB/s", p.KB)
+			}
+		}
+		add("peak memory, "+r.Name, "MB", r.PeakMB)
+		add("bytes at the start, "+r.Name, "MB", r.StartMB)
+	}
+	for _, f := range s.Force {
+		add(f.Name+", p50", "s", f.P50)
+		add(f.Name+", p99", "s", f.P99)
+		add(f.Name+", max", "s", f.Max)
+		add(f.Name+", missing", "", float64(f.Missing))
+	}
+	for _, a := range s.Apart {
+		add("hollow over real, "+a.Name, "", a.Ratio)
+	}
+	add("all members registered", "s", s.Register)
+	add("all relays have the list", "s", s.Start)
+	add("settled after the load", "s", s.Settle)
+	return all
+}
+
+// apart sets the hollow relays beside the real ones of the same load.
+func (s *ScaleReport) apart(hollowName, realName string) {
+	var h, r *ScaleRole
+	for i := range s.Roles {
+		switch s.Roles[i].Name {
+		case hollowName:
+			h = &s.Roles[i]
+		case realName:
+			r = &s.Roles[i]
+		}
+	}
+	if h == nil || r == nil {
+		return
+	}
+	add := func(name string, x, y float64) {
+		a := ScaleApart{Name: name, Hollow: x, Real: y}
+		if y > 0 {
+			a.Ratio = x / y
+		}
+		s.Apart = append(s.Apart, a)
+	}
+	for _, part := range scaleParts {
+		if hp, ok := h.Parts[part]; ok {
+			add("CPU, "+part, hp.CPU, r.Parts[part].CPU)
+		}
+	}
+	add("peak memory", h.PeakMB, r.PeakMB)
+}
--- /dev/null
+++ b/internal/lab/scale_judge.go
@@ -0,0 +1,99 @@
+package lab
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"troutusher/internal/lab/history"
+	"troutusher/internal/lab/hollow"
+	"troutusher/internal/lab/judge"
+)
+
+// scaleJudge holds a scale run to the rules that its hollow relays can be held to:
+//
+//	start   every relay comes to have a list
+//	list    each relay ends with the list that the service has
+//	change  each change is heard once, in the order in which it was made
+//	end     each message that was taken on has one end, and the log owes nothing
+type scaleJudge struct {
+	dir     string
+	began   int64 // Unix µs
+	verdict judge.Verdict
+}
+
+func newScaleJudge(dir string, began int64) *scaleJudge {
+	return &scaleJudge{dir: dir, began: began, verdict: judge.Verdict{Counts: map[string]int{}, Judged: map[string]int{}, Excused: map[string]int{}}}
+}
+
+const brokenShown = 5 // of one rule, told one by one
+
+// broken books a broken promise; a and b are the moments in question, Unix µs, 0 for none.
+func (j *scaleJudge) broken(rule, subject, text string, a, b int64) {
+	j.verdict.Counts[rule]++
+	if j.verdict.Counts[rule] > brokenShown {
+		return
+	}
+	event := func(at int64) history.Event {
+		if at == 0 {
+			return history.Event{}
+		}
+		return history.Event{T: at - j.began, Kind: history.Watched, Relay: subject}
+	}
+	j.verdict.Broken = append(j.verdict.Broken, judge.Broken{Rule: rule, Subject: subject, Text: text, A: event(a), B: event(b), File: filepath.Join(j.dir, "logs")})
+}
+
+func (j *scaleJudge) judged(rule string) { j.verdict.Judged[rule]++ }
+
+// list judges one relay's list at the end.
+func (j *scaleJudge) list(relay string, has, wanted uint64, members int) {
+	if j.judged("list"); has != wanted {
+		j.broken("list", relay, fmt.Sprintf("ends with another list than the service's; it has %d members", members), 0, 0)
+	}
+}
+
+// changes judges what one relay heard of the changes, in the order in which they
+// were made.
+func (j *scaleJudge) changes(r *hollow.RelayResult, made []scaleChange) {
+	for _, text := range r.Wrong {
+		j.broken("change", r.Name, text, 0, 0)
+	}
+	heard := map[uint64][]int{} // places
+	for i, h := range r.Heard {
+		heard[h.Key] = append(heard[h.Key], i)
+	}
+	last := -1
+	for _, c := range made {
+		j.judged("change")
+		places := heard[c.Key]
+		switch {
+		case len(places) == 0 && r.Whole > 1:
+			j.verdict.Excused["changes that a whole list may have stood for"]++
+		case len(places) == 0:
+			j.broken("change", r.Name, "a change was never heard", c.Asked, 0)
+		case len(places) > 1:
+			j.broken("change", r.Name, "a change was heard twice", r.Heard[places[0]].At, r.Heard[places[1]].At)
+		case places[0] < last:
+			j.broken("change", r.Name, "a change was heard before one that was made earlier", c.Asked, r.Heard[places[0]].At)
+		default:
+			last = places[0]
+		}
+	}
+}
+
+// ends judges the messages of one relay.
+func (j *scaleJudge) ends(r *hollow.RelayResult) {
+	c := &r.Counts
+	j.verdict.Judged["end"] += int(c.Taken)
+	if r.LogErr != "" {
+		j.broken("end", r.Name, "its log cannot be read: "+r.LogErr, 0, 0)
+	}
+	if c.Held != 0 {
+		j.broken("end", r.Name, fmt.Sprintf("%d messages have no end", c.Held), 0, 0)
+	}
+	if ends := c.Delivered + c.HandedBack + c.GivenUp + c.Held; ends != c.Taken || c.Twice > 0 {
+		j.broken("end", r.Name, fmt.Sprintf("%d messages were taken on and %d ends counted, %d of them twice", c.Taken, ends, c.Twice), 0, 0)
+	}
+	if r.Owed != 0 {
+		j.broken("end", r.Name, fmt.Sprintf("its log owes %d messages", r.Owed), 0, 0)
+	}
+}
--- /dev/null
+++ b/internal/lab/scale_processes.go
@@ -0,0 +1,273 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"troutusher/internal/lab/hollow"
+	"troutusher/internal/lab/model"
+	"troutusher/internal/lab/process"
+	"troutusher/internal/lab/scenario"
+	"troutusher/internal/registry/agent"
+)
+
+const (
+	scaleSlots   = 200  // calls out at once, of one relay: 267 messages a second need 60
+	scaleHeld    = 4000 // messages that one relay may hold
+	scaleSockets = 2048
+	scaleDiskMB  = 64
+	scaleBody    = 200 // bytes of a message
+	askEvery     = 50 * time.Millisecond
+)
+
+// scaleAgent is an agent of the list service and what it is asked through.
+type scaleAgent struct {
+	proc *process.Proc
+	addr string
+	door *meter // for its relays
+}
+
+// scaleReal is one relay that is a process of its own.
+type scaleReal struct {
+	name     string
+	proc     *process.Proc
+	listen   string
+	operator string // empty for none
+	agent    *scaleAgent
+}
+
+// scaleHollow is a process of hollow relays.
+type scaleHollow struct {
+	proc   *process.Proc
+	relays int
+	result string
+	status *statusReader
+}
+
+// statusReader takes in what a process of hollow relays says.
+type statusReader struct {
+	log io.Writer
+
+	mu   sync.Mutex
+	rest []byte
+	last hollow.Status
+}
+
+// Write takes lines of status; all else goes to the log.
+func (s *statusReader) Write(text []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rest = append(s.rest, text...)
+	for {
+		line, rest, whole := bytes.Cut(s.rest, []byte{'\n'})
+		if !whole {
+			return len(text), nil
+		}
+		var status hollow.Status
+		if bytes.HasPrefix(line, []byte("{")) && json.Unmarshal(line, &status) == nil {
+			s.last = status
+		} else {
+			fmt.Fprintf(s.log, "%s\n", line)
+		}
+		s.rest = bytes.Clone(rest)
+	}
+}
+
+func (s *statusReader) status() hollow.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
+// logFile makes a file for what a process says.
+func (r *scaleRun) logFile(name string) (*os.File, error) {
+	f, err := os.Create(filepath.Join(r.dir, "logs", name+".log"))
+	if err != nil {
+		return nil, fmt.Errorf("lab: %w", err)
+	}
+	r.files = append(r.files, f)
+	return f, nil
+}
+
+// startAgent runs one agent; its relays ask it through a meter.
+func (r *scaleRun) startAgent(name string, nodes []*meter) (*scaleAgent, error) {
+	log, err := r.logFile(name)
+	if err != nil {
+		return nil, err
+	}
+	var addrs []string
+	for _, n := range nodes {
+		addrs = append(addrs, n.addr())
+	}
+	a := &scaleAgent{addr: r.address()}
+	if a.proc, err = process.Start(name, r.opts.Registry, []string{"agent", "--listen", a.addr, "--folder", filepath.Join(r.dir, name),
+		"--nodes", strings.Join(addrs, ","), "--fleet", fmt.Sprint(r.scen.Scale.Fleet)}, nil, log); err != nil {
+		return nil, err
+	}
+	r.own(a.proc)
+	if a.door, err = newMeter(r.address(), a.addr); err != nil {
+		return nil, err
+	}
+	r.meters = append(r.meters, a.door)
+	return a, nil
+}
+
+// nodeMeters makes a meter before each node.
+func (r *scaleRun) nodeMeters() (all []*meter, err error) {
+	for _, addr := range r.group.http {
+		m, err := newMeter(r.address(), addr)
+		if err != nil {
+			return nil, err
+		}
+		all, r.meters = append(all, m), append(r.meters, m)
+	}
+	return all, nil
+}
+
+// agentMembers is how many members an agent lists.
+func agentMembers(ctx context.Context, a *scaleAgent) int {
+	var s agent.Status
+	if getJSON(ctx, "http://"+a.addr+"/v1/status", &s) != nil {
+		return -1
+	}
+	return s.Members
+}
+
+func getJSON(ctx context.Context, url string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// settings is the wire page's object for one relay of the fleet.
+func (r *scaleRun) settings(number int) map[string]any {
+	return model.Settings(model.Fleet{Relays: r.scen.Scale.Fleet, Slots: scaleSlots, Held: scaleHeld, Zones: r.scen.Fleet.Zones,
+		Zone: number % len(r.scen.Fleet.Zones), Rank: number, Batch: 1}, model.StandardRules())
+}
+
+// startReal runs one relay as a process of its own.
+func (r *scaleRun) startReal(number int, a *scaleAgent) (*scaleReal, error) {
+	x := &scaleReal{name: fmt.Sprintf("n%d", number+1), listen: r.address(), agent: a}
+	if number%2 == 1 {
+		x.operator = r.address()
+	}
+	state := filepath.Join(r.dir, x.name)
+	if err := os.MkdirAll(state, 0o700); err != nil {
+		return nil, fmt.Errorf("lab: %w", err)
+	}
+	text, err := json.Marshal(map[string]any{"name": x.name, "listen": x.listen, "discovery": a.door.addr(), "state": state, "operator": x.operator,
+		"seed":   fmt.Sprintf("%016x", seeded(r.opts.Seed, "relay "+x.name).Uint64()),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": budgetMemoryMB, "sockets": scaleSockets, "disk_mb": scaleDiskMB}, "settings": r.settings(number)})
+	if err != nil {
+		return nil, fmt.Errorf("lab: configuration of %s: %w", x.name, err)
+	}
+	path := filepath.Join(r.dir, x.name+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, fmt.Errorf("lab: configuration of %s: %w", x.name, err)
+	}
+	log, err := r.logFile(x.name)
+	if err != nil {
+		return nil, err
+	}
+	if x.proc, err = process.Start(x.name, r.opts.Program, r.opts.Args, append([]string{"ROUTER_CONFIG=" + path}, r.opts.Env...), log); err != nil {
+		return nil, err
+	}
+	r.own(x.proc)
+	return x, nil
+}
+
+// members is what a relay with an operator address says of the size of its list.
+func (x *scaleReal) members(ctx context.Context) int {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+x.operator+"/v1/metrics", nil)
+	if err != nil {
+		return -1
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return -1
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		var count int
+		if n, _ := fmt.Sscanf(lines.Text(), "app_members %d", &count); n == 1 {
+			return count
+		}
+	}
+	return -1
+}
+
+// startHollow runs one process of hollow relays.
+func (r *scaleRun) startHollow(number, first, relays int, doors []string) (*scaleHollow, error) {
+	name := fmt.Sprintf("hollow-%d", number+1)
+	c := hollow.Config{Folder: filepath.Join(r.dir, name), First: first, Discovery: doors, Fleet: r.scen.Scale.Fleet, Seed: r.opts.Seed,
+		Zones: r.scen.Fleet.Zones, Flavors: []string{model.Telco, model.Newsagent}, DiskMB: scaleDiskMB, Result: filepath.Join(r.dir, name+".result"),
+		Stream: hollow.Stream{Rate: r.scen.Scale.Rate, Deadline: scenario.Secs(r.scen.Scale.Deadline), Body: scaleBody, Connect: connectTimeout,
+			Down: r.down, Destinations: r.scen.Scale.Members}}
+	for _, k := range model.Classes() {
+		c.Stream.Classes = append(c.Stream.Classes, hollow.StreamClass{Name: k.Name, Share: k.Share, Took: k.Took})
+	}
+	for i := range relays {
+		text, err := json.Marshal(r.settings(first + i))
+		if err != nil {
+			return nil, fmt.Errorf("lab: configuration of %s: %w", name, err)
+		}
+		c.Settings = append(c.Settings, text)
+	}
+	text, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("lab: configuration of %s: %w", name, err)
+	}
+	path := filepath.Join(r.dir, name+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, fmt.Errorf("lab: configuration of %s: %w", name, err)
+	}
+	log, err := r.logFile(name)
+	if err != nil {
+		return nil, err
+	}
+	h := &scaleHollow{relays: relays, result: c.Result, status: &statusReader{log: log}}
+	if h.proc, err = process.Start(name, r.opts.Hollow, []string{"hollow", path}, nil, h.status); err != nil {
+		return nil, err
+	}
+	r.own(h.proc)
+	return h, nil
+}
+
+// hollowStatus adds up what all processes of hollow relays said last.
+func (r *scaleRun) hollowStatus() hollow.Status {
+	all := hollow.Status{Hashes: map[string]int{}, Members: map[int]int{}}
+	for _, h := range r.hollows {
+		s := h.status.status()
+		for hash, n := range s.Hashes {
+			all.Hashes[hash] += n
+		}
+		for members, n := range s.Members {
+			all.Members[members] += n
+		}
+		all.Relays += s.Relays
+		all.Counts.Add(s.Counts)
+		all.LateP99, all.LateMax = max(all.LateP99, s.LateP99), max(all.LateMax, s.LateMax)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/lab/scale_test.go
@@ -0,0 +1,147 @@
+package lab
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"troutusher/internal/discovery"
+	"troutusher/internal/lab/hollow"
+	"troutusher/internal/lab/scenario"
+)
+
+// TestScaleSmoke plays the scale scenario at a small size, with real processes of
+// relays, nodes and agents, and holds it to the judge's rules.
+func TestScaleSmoke(t *testing.T) {
+	t.Parallel()
+	dir, err := programs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := scenario.LoadFile(filepath.Join("..", "..", "lab", "scenarios", "scale-smoke.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Nothing is measured here: that the machine is busy voids no rule.
+	res := play(t, Options{Scenario: s, Seed: 1, Program: filepath.Join(dir, "troutusher"), Registry: filepath.Join(dir, "troutregistry"),
+		Hollow: os.Args[0], Late: 10 * time.Second})
+	if !res.Verdict.Kept() {
+		t.Errorf("seed 1: %v", res.Verdict.Broken)
+	}
+	for _, rule := range []string{"start", "list", "change", "end"} {
+		if res.Verdict.Judged[rule] == 0 {
+			t.Errorf("seed 1: rule %s was never looked at", rule)
+		}
+	}
+	force := map[string]ScaleSpread{}
+	for _, f := range res.Scale.Force {
+		if force[f.Name] = f; f.Missing > 0 || f.Count == 0 {
+			t.Errorf("seed 1: %+v", f)
+		}
+	}
+	zone := s.Scale.Members / len(s.Fleet.Zones)
+	if got := force["a zone back, each relay"].Count; got != zone*s.Scale.Relays {
+		t.Errorf("seed 1: %d members of the zone came back over all relays, want %d", got, zone*s.Scale.Relays)
+	}
+	var table bytes.Buffer
+	res.Scale.Print(&table)
+	for _, want := range []string{hollowName, realName, operatedName, "hollow beside real, CPU", "peak memory", "agent of one relay", "list service's node"} {
+		if !strings.Contains(table.String(), want) {
+			t.Errorf("no %q in\n%s", want, table.String())
+		}
+	}
+}
+
+// TestScaleJudgeCatchesEachBreak breaks one promise of a hollow relay at a time.
+func TestScaleJudgeCatchesEachBreak(t *testing.T) {
+	made := []scaleChange{{Key: 1, Asked: 10}, {Key: 2, Asked: 20}}
+	sound := func() *hollow.RelayResult {
+		return &hollow.RelayResult{Name: "h1", Hash: 7, Members: 3, Whole: 1, Heard: []hollow.Heard{{Key: 1, At: 11}, {Key: 2, At: 21}},
+			Counts: hollow.Counts{Taken: 4, Delivered: 2, HandedBack: 1, GivenUp: 1}}
+	}
+	for _, x := range []struct {
+		name, rule string
+		spoil      func(*hollow.RelayResult)
+	}{
+		{"sound", "", func(*hollow.RelayResult) {}},
+		{"another list", "list", func(r *hollow.RelayResult) { r.Hash = 8 }},
+		{"never heard", "change", func(r *hollow.RelayResult) { r.Heard = r.Heard[:1] }},
+		{"heard twice", "change", func(r *hollow.RelayResult) { r.Heard = append(r.Heard, r.Heard[1]) }},
+		{"out of order", "change", func(r *hollow.RelayResult) { r.Heard[0], r.Heard[1] = r.Heard[1], r.Heard[0] }},
+		{"back in revisions", "change", func(r *hollow.RelayResult) { r.Wrong = []string{"a change to revision 3 after 4"} }},
+		{"no end", "end", func(r *hollow.RelayResult) { r.Counts.Delivered, r.Counts.Held = 1, 1 }},
+		{"an end too few", "end", func(r *hollow.RelayResult) { r.Counts.Delivered = 1 }},
+		{"two ends", "end", func(r *hollow.RelayResult) { r.Counts.Twice = 1 }},
+		{"owed", "end", func(r *hollow.RelayResult) { r.Owed = 1 }},
+		{"a log that cannot be read", "end", func(r *hollow.RelayResult) { r.LogErr = "no such file" }},
+	} {
+		j, r := newScaleJudge("", 0), sound()
+		x.spoil(r)
+		j.list(r.Name, r.Hash, 7, r.Members)
+		j.changes(r, made)
+		j.ends(r)
+		for rule := range j.verdict.Counts {
+			if rule != x.rule {
+				t.Errorf("%s: rule %s broken too: %v", x.name, rule, j.verdict.Broken)
+			}
+		}
+		if x.rule != "" && j.verdict.Counts[x.rule] == 0 {
+			t.Errorf("%s: rule %s not broken", x.name, x.rule)
+		}
+	}
+}
+
+// TestScaleLatenessVoidsARun: of the lab as of the hollow relays.
+func TestScaleLatenessVoidsARun(t *testing.T) {
+	for _, x := range []struct {
+		lab, hollow time.Duration
+		void        bool
+	}{{time.Millisecond, time.Millisecond, false}, {time.Second, time.Millisecond, true}, {time.Millisecond, time.Second, true}} {
+		s := scenario.Default()
+		r := &scaleRun{opts: Options{Out: t.TempDir()}, scen: &s, judge: newScaleJudge("", 0), lates: hdrhistogram.New(1, 60_000_000, 3)}
+		r.dir = r.opts.Out
+		r.late(x.lab)
+		r.report.HollowP99 = x.hollow
+		res, err := r.result()
+		if errors.Is(err, ErrLate) != x.void || res == nil {
+			t.Errorf("lab %v, hollow %v: %v", x.lab, x.hollow, err)
+		}
+	}
+}
+
+// TestAScaleRunThatCannotStartEndsInTime: a relay that does not start is named.
+func TestAScaleRunThatCannotStartEndsInTime(t *testing.T) {
+	t.Parallel()
+	dir, err := programs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := scenario.Parse("x.toml", []byte("[registry]\nnodes = 1\nttl = 3\n[scale]\nrelays = 1\nprocesses = 1\nreal = 1\nagents = 1\nmembers = 10\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = Run(t.Context(), Options{Scenario: s, Seed: 1, Out: t.TempDir(), Program: "/bin/false", Registry: filepath.Join(dir, "troutregistry"), Hollow: os.Args[0]})
+	if err == nil || !strings.Contains(err.Error(), "n1") {
+		t.Errorf("got %v, want an error that names the relay n1", err)
+	}
+}
+
+// TestListHashIsThatOfItsChanges: the hash that a hollow relay keeps up is the
+// list's own.
+func TestListHashIsThatOfItsChanges(t *testing.T) {
+	a := discovery.Member{ID: "a", HostPort: "127.0.0.1:1", Phase: discovery.Up, Size: 1}
+	b := discovery.Member{ID: "b", HostPort: "127.0.0.1:2", Phase: discovery.Draining, Size: 1.5}
+	gone := discovery.Member{ID: "c", Phase: discovery.Removed}
+	if hollow.ListHash([]discovery.Member{a, b, gone}) != hollow.MemberHash(&b)+hollow.MemberHash(&a) {
+		t.Error("the hash of a list is not the sum of its members'")
+	}
+	if hollow.MemberHash(&a) == hollow.MemberHash(&b) {
+		t.Error("two members of one hash")
+	}
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -32,6 +32,7 @@
 	Disc     Disc     `toml:"discovery"`
 	Registry Registry `toml:"registry"`
 	Peers    Peers    `toml:"bad_peers"`
+	Scale    Scale    `toml:"scale"`
 	Faults   []Fault  `toml:"fault"`
 }
 
@@ -151,7 +152,8 @@
 		Load:     Load{Rate: 60, Retries: 2, Clumps: 0.1},
 		Disc:     Disc{LateS: 1},
 		Registry: Registry{TTL: 3, WardenTTL: 1.5},
-		Peers:    Peers{Kinds: []string{"garbage", "silent", "half", "unknown"}}}
+		Peers:    Peers{Kinds: []string{"garbage", "silent", "half", "unknown"}},
+		Scale:    scaleDefaults()}
 }
 
 // Error is a scenario that cannot be used.
@@ -350,6 +352,9 @@
 	if len(f.Zones) == 0 {
 		return "fleet.zones", "none; at least one is wanted"
 	}
+	if key, text := s.checkScale(); key != "" {
+		return key, text
+	}
 	for i := range s.Faults {
 		if key, text := s.checkFault(&s.Faults[i]); key != "" {
 			return fmt.Sprintf("fault[%d].%s", i, key), text
