--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -289,7 +289,11 @@
 				if err != nil {
 					return err
 				}
-				fmt.Fprintf(w, "%s\t%.0f s\t%d relays\t%s\n", path, s.Seconds, s.Fleet.Relays, s.About)
+				relays := s.Fleet.Relays
+				if s.Scale.Relays > 0 {
+					relays = s.Scale.Relays + s.Scale.Real
+				}
+				fmt.Fprintf(w, "%s\t%.0f s\t%d relays\t%s\n", path, s.Seconds, relays, s.About)
 			}
 			return w.Flush()
 		}}
--- /dev/null
+++ b/internal/lab/hollow/hollow_test.go
@@ -0,0 +1,59 @@
+package hollow
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestDownIsASteadyWindow: at any moment as many destinations are down, each for
+// its time, and over a whole round each of them once.
+func TestDownIsASteadyWindow(t *testing.T) {
+	const destinations = 200
+	d := Down{Seed: 3, Share: 0.05, For: 10 * time.Second, Origin: 1000}
+	d.Prepare(destinations)
+	if d.Count() != 10 {
+		t.Fatalf("%d are down, want 10", d.Count())
+	}
+	step := d.For.Microseconds() / int64(d.Count())
+	steps := make([]int, destinations)
+	for n := range destinations { // a round: each step one goes down and one comes back
+		count := 0
+		for i := range destinations {
+			if d.At(i, d.Origin+int64(n)*step+step/2) {
+				count++
+				steps[i]++
+			}
+		}
+		if count != d.Count() {
+			t.Fatalf("seed 3, step %d: %d are down, want %d", n, count, d.Count())
+		}
+	}
+	for i, n := range steps {
+		if n != d.Count() {
+			t.Errorf("seed 3: destination %d was down for %d steps, want %d", i, n, d.Count())
+		}
+	}
+	if none := (Down{Share: 0}); none.At(0, 5) {
+		t.Error("one is down where none is to be")
+	}
+}
+
+// TestConfigurationsThatCannotBe are told by what is missing.
+func TestConfigurationsThatCannotBe(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.json")
+	for text, want := range map[string]string{"{": "configuration", "{}": "settings", `{"settings": [{}]}`: "discovery",
+		`{"settings": [{}], "discovery": ["127.0.0.1:1"]}`: "stream"} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := LoadConfig(path); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want an error that names %s", text, err, want)
+		}
+	}
+	if _, err := LoadConfig(path + ".none"); err == nil {
+		t.Error("a file that is not there: no error")
+	}
+}
--- a/internal/lab/hollow/relays/list.go
+++ b/internal/lab/hollow/relays/list.go
@@ -31,6 +31,7 @@
 	revision       int64
 	whole          int // whole lists that were taken
 	heard          []hollow.Heard
+	news           bool     // some was taken that the policy does not have yet
 	pending        []uint64 // changes that are in the policy's next step
 	wrong          []string
 }
@@ -61,7 +62,7 @@
 	if !news.Complete && (first || news.Revision <= l.revision) {
 		l.wrong = append(l.wrong, fmt.Sprintf("a change to revision %d after %d, %d whole lists", news.Revision, l.revision, l.whole))
 	}
-	l.revision = news.Revision
+	l.revision, l.news = news.Revision, true
 	e.Entries = make([]decide.Entry, 0, len(news.Members))
 	for i := range news.Members {
 		e.Entries = append(e.Entries, l.member(&news.Members[i], !first))
@@ -130,5 +131,5 @@
 	for _, key := range l.pending {
 		l.heard = append(l.heard, hollow.Heard{Key: key, At: now.UnixMicro()})
 	}
-	l.pending = l.pending[:0]
+	l.pending, l.news = l.pending[:0], false
 }
--- a/internal/lab/hollow/relays/relay.go
+++ b/internal/lab/hollow/relays/relay.go
@@ -267,7 +267,7 @@
 		}
 	}
 	r.actions = r.policy.Step(r.now(), events, r.actions[:0])
-	if len(r.list.pending) > 0 || !r.shown.listed && r.list.whole > 0 {
+	if r.list.news {
 		r.list.inForce(time.Now())
 		r.show()
 	}
--- a/internal/lab/scale_figures.go
+++ b/internal/lab/scale_figures.go
@@ -43,6 +43,11 @@
 	Parts   map[string]ScalePart `json:"parts"`
 	PeakMB  float64              `json:"peak_mb"`  // the largest mean over the units, of samples
 	StartMB float64              `json:"start_mb"` // bytes of control until all had their list
+
+	// The same at the target's rate of changes, worked out: quiet, and of what control
+	// costs beyond that the part that is not sped up.
+	DayCPU float64 `json:"day_cpu_percent"`
+	DayKB  float64 `json:"day_kb_a_second"`
 }
 
 // ScaleSpread is a distribution in seconds.
@@ -141,8 +146,11 @@
 		KB: float64(now.bytes-r.before.bytes) / 1e3 / spent / units}
 }
 
-func (r *role) finish() ScaleRole {
+func (r *role) finish(speed float64) ScaleRole {
 	r.told.Name, r.told.Units = r.name, r.units
+	quiet, control := r.told.Parts[partQuiet], r.told.Parts[partControl]
+	r.told.DayCPU = quiet.CPU + (control.CPU-quiet.CPU)/speed
+	r.told.DayKB = quiet.KB + (control.KB-quiet.KB)/speed
 	r.told.PeakMB = float64(r.peak) / (1 << 20) / float64(r.units)
 	return r.told
 }
@@ -179,6 +187,12 @@
 		fmt.Fprintf(t, "%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.2f\n", f.Name, f.Count, f.Missing, f.P50, f.P99, f.Max, f.Max/budgetForce.Seconds())
 	}
 	t.Flush()
+	for _, r := range s.Roles {
+		if isRelay(r.Name) {
+			fmt.Fprintf(w, "%s, control with changes at x 1 (worked out): %.2f%% of a core, %.2f of budget; %.3f KB/s, %.4f of budget\n",
+				r.Name, r.DayCPU, r.DayCPU/budgetCPU, r.DayKB, r.DayKB/budgetKB)
+		}
+	}
 	for _, a := range s.Apart {
 		fmt.Fprintf(w, "hollow beside real, %s: %.2f and %.2f, ratio %.2f\n", a.Name, a.Hollow, a.Real, a.Ratio)
 	}
@@ -199,6 +213,7 @@
 				add(fmt.Sprintf("bytes, %s, %s", r.Name, part), "KB/s", p.KB)
 			}
 		}
+		add("CPU, "+r.Name+", changes at x 1", "% of a core", r.DayCPU)
 		add("peak memory, "+r.Name, "MB", r.PeakMB)
 		add("bytes at the start, "+r.Name, "MB", r.StartMB)
 	}
--- a/internal/lab/scale_play.go
+++ b/internal/lab/scale_play.go
@@ -183,7 +183,7 @@
 // count makes the figures of a run that has ended.
 func (r *scaleRun) count(relays []hollow.RelayResult) {
 	for _, x := range r.roles {
-		r.report.Roles = append(r.report.Roles, x.finish())
+		r.report.Roles = append(r.report.Roles, x.finish(r.scen.Scale.Speed))
 	}
 	r.report.apart(hollowName, realName)
 	var control, load []scaleChange
--- a/internal/lab/scenario/scale.go
+++ b/internal/lab/scenario/scale.go
@@ -59,7 +59,7 @@
 	case s.Registry.Wardens > 0:
 		return "registry.wardens", "a scale scenario has none"
 	case len(s.Faults) > 0:
-		return "fault", "a scale scenario has none of its own: see scale.down and scale.lapse_at"
+		return "fault[0].kind", "a scale scenario has none of its own: see scale.down and scale.lapse_at"
 	case c.Processes > c.Relays:
 		return "scale.processes", fmt.Sprintf("%d; at most one for each of the %d hollow relays", c.Processes, c.Relays)
 	case c.LapseAt > 0 && c.LapseFor < s.Registry.TTL:
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -23,6 +23,12 @@
 		{"[[fault]]\nkind = \"cut\"\nway = \"up\"\n", "fault[0].way", 3, "forth, back, both"},
 		{"[[fault]]\nkind = \"flip\"\nfile = \"../x\"\n", "fault[0].file", 3, "name of a file"},
 		{"[[fault]]\nkind = \"kill\"\nrelays = [3]\n", "fault[0].relays", 3, "from 0 to 2"},
+		{"[scale]\nrelays = 3\n", "scale.relays", 2, "registry.nodes"},
+		{"[scale]\nrelay = 3\n", "scale.relay", 2, "processes"},
+		{"[scale]\nmembers = 1\n", "scale.members", 2, "from 2"},
+		{"[registry]\nnodes = 3\n[scale]\nrelays = 3\nprocesses = 4\n", "scale.processes", 5, "at most one"},
+		{"[registry]\nnodes = 3\nttl = 9\n[scale]\nrelays = 8\nlapse_at = 1\nlapse_for = 3\n", "scale.lapse_for", 7, "registry.ttl"},
+		{"[registry]\nnodes = 3\n[scale]\nrelays = 8\n[[fault]]\nkind = \"kill\"\n", "fault[0].kind", 6, "has none"},
 		{"[[fault]]\nkind = \"pause\"\nfor = 3\nevery = 2\n", "fault[0].every", 4, "more than"},
 	} {
 		_, err := Parse("x.toml", []byte(x.text))
