--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -246,6 +246,7 @@
 		return err
 	}
 	r.makeRoles(own, ownNodes, sharedNodes)
+	r.background(r.sampleRoles)
 	r.awaitLists(ctx)
 	r.report.Start = time.Since(began).Seconds()
 	for _, x := range r.roles {
--- a/internal/lab/scale_figures.go
+++ b/internal/lab/scale_figures.go
@@ -133,9 +133,6 @@
 	return u
 }
 
-// sample books how much memory the role holds now.
-func (r *role) sample() { r.measure() }
-
 // begin starts a part, end books it.
 func (r *role) begin() { r.before = r.measure() }
 
--- a/internal/lab/scale_play.go
+++ b/internal/lab/scale_play.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -17,7 +18,6 @@
 func (r *scaleRun) playParts() {
 	c := &r.scen.Scale
 	r.background(r.beat)
-	r.background(r.sampleRoles)
 	changing, enough := context.WithCancel(r.ctx)
 	defer enough()
 	r.measured(partQuiet, scenario.Secs(c.Quiet))
@@ -86,12 +86,33 @@
 	}
 }
 
+// sampleRoles books what memory each role holds, and ends a run that would take
+// more than half of the machine's.
 func (r *scaleRun) sampleRoles() {
+	half := machineMemory() / 2
 	for model.Pause(r.ctx, sampleEvery) {
+		all := int64(0)
 		for _, x := range r.roles {
-			x.sample()
+			all += x.measure().rss
 		}
+		if half > 0 && all > half {
+			r.fail(fmt.Errorf("lab: the run takes %d MB, over half of the machine's memory: fewer relays are wanted", all>>20))
+			return
+		}
+	}
+}
+
+// machineMemory is what the machine has; 0 where that cannot be told.
+func machineMemory() int64 {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0
+	}
+	var kb int64
+	if n, _ := fmt.Sscanf(string(text), "MemTotal: %d kB", &kb); n != 1 {
+		return 0
 	}
+	return kb << 10
 }
 
 // own has a process end with the run, and the run fail where it ends before it is
