Keep a bounded head of each destination's queue in the policy's memory

With the setting MaxResident the policy spills what is beyond a head of 512, or beyond the total, and asks it back as room is made, the earliest first. Order of keys, windows of messages in doubt and what was untried since a restart survive. Without the setting, or below its bounds, actions and draws are as before.

--- a/decide/api.go
+++ b/decide/api.go
@@ -55,6 +55,7 @@
 	Kinds          []Kind
 	Slots          int // calls out at once
 	MaxHeld        int // messages held at once; 0 for no limit
+	MaxResident    int // messages in memory at most, the rest spilled; 0 for all
 	MaxAttempts    int // attempts for one message; 0 for no limit
 	Halving        bool
 	OverShareWorth float64 // part of its worth that a message beyond its tenant's share keeps
@@ -96,7 +97,7 @@
 	counts := []struct {
 		key    string
 		v, min int
-	}{{"Relays", s.Relays, 1}, {"Slots", s.Slots, 1}, {"MaxHeld", s.MaxHeld, 0}, {"Zone", s.Zone, 0},
+	}{{"Relays", s.Relays, 1}, {"Slots", s.Slots, 1}, {"MaxHeld", s.MaxHeld, 0}, {"MaxResident", s.MaxResident, 0}, {"Zone", s.Zone, 0},
 		{"MaxAttempts", s.MaxAttempts, 0}, {"Streams", s.Streams, 0}, {"Classes", len(s.Classes), 1}}
 	for _, c := range counts {
 		if c.v < c.min {
@@ -151,7 +152,7 @@
 	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work, Kept, Tries, DoubtAt, DoubtIn
 	EvBegun                     // an answer has begun to flow: Message, Attempt
 	EvOutcome                   // an attempt is over: Message, Attempt, Endpoint, Outcome, Wait, Slots, Took, Settled, Load
-	EvWithdraw                  // nobody wants the message any more: Message
+	EvWithdraw                  // nobody wants the message any more: Message; of one that was spilled Spilled, Dest, Class, Key
 	EvTimer                     // a timer has come: Token
 	EvProbed                    // a probe was answered: Endpoint, Outcome, Took, Load
 	EvDrain                     // the operators have the relay emptied of clients
@@ -245,6 +246,11 @@
 	DoubtAt Time
 	DoubtIn int
 
+	// EvMessage, of a message that was spilled and comes back; with it Kept and
+	// OverShare as the ActSpill had them, and the rest as the log has it.
+	Spilled   bool
+	OverShare bool
+
 	// EvMessage, where another process of this relay has the newest of these
 	// attempts still out: its endpoint (0 for none) and its send.
 	Out   Endpoint
@@ -269,6 +275,8 @@
 	ActSayNo                     // tell clients that ask that this relay takes no new connections
 	ActRelease                   // close clients' connections, each between requests
 	ActSayYes                    // take clients again
+	ActSpill                     // Message, Dest, At, Kept, OverShare, InOrder: the policy forgets it; it has to be back by At at the latest
+	ActLoad                      // Dest, Count: give back so many spilled messages, the earliest At first; those in order as they were spilled
 	numActions                   // count of the kinds
 )
 
@@ -284,4 +292,8 @@
 	After    Time
 	Token    uint64
 	Text     string
+	Dest     int
+	Count    int
+
+	Kept, OverShare, InOrder bool // of a spilled message
 }
--- a/decide/containers.go
+++ b/decide/containers.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 )
 
 // Plain containers; all their sizes are passed in.
@@ -156,6 +157,12 @@
 	return heap.Pop(&a.items).(agendaItem[T]).v, true
 }
 
+// keep takes out all values but those that still count.
+func (a *agenda[T]) keep(counts func(T) bool) {
+	a.items = slices.DeleteFunc(a.items, func(x agendaItem[T]) bool { return !counts(x.v) })
+	heap.Init(&a.items)
+}
+
 // next is the earliest moment; the last one of all where nothing waits.
 func (a *agenda[T]) next() Time {
 	if len(a.items) == 0 {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,6 +40,10 @@
 	silentMany  = 0.04 // share of calls with no answer above which hanging is held to be usual
 	silentSpan  = 50   // calls over which that share is told
 
+	headMost  = 512        // messages of one destination in memory: what a queue costs grows with them
+	leastMost = 8          // of each destination in memory where many have a backlog
+	loadLead  = 2 * second // before its time is up a spilled message is loaded: a load may wait for others
+
 	drainHeed = 6 * second / 10 // from the first no until connections are closed: word of it takes a while
 )
 
@@ -79,7 +83,9 @@
 			p.activate()
 		case EvBegun, EvWithdraw:
 			m := p.msgs[e.Message]
-			if m != nil && (e.Kind == EvWithdraw || m.call != nil && e.Attempt == m.tries-1) {
+			if e.Spilled {
+				p.back(e)
+			} else if m != nil && (e.Kind == EvWithdraw || m.call != nil && e.Attempt == m.tries-1) {
 				p.finish(m)
 			}
 		}
@@ -87,6 +93,7 @@
 	p.expire()
 	p.shed()
 	p.dispatch()
+	p.refill()
 	p.arm()
 	out := p.out
 	p.out = nil
@@ -186,18 +193,22 @@
 	if p.set.WorthByWork && e.Work > 0 {
 		m.worth *= float64(e.Work)
 	}
-	if e.Tenant >= 0 && e.Tenant < len(p.tenants) && p.set.Tenants[e.Tenant].Quota > 0 {
+	if e.Spilled {
+		p.back(e)
+		m.overShare = e.OverShare // as found when it was taken on
+	} else if e.Tenant >= 0 && e.Tenant < len(p.tenants) && p.set.Tenants[e.Tenant].Quota > 0 {
 		// Tenants over their share come last. The share is judged by this relay's part alone.
 		part := p.set.Tenants[e.Tenant].Quota / float64(p.set.Relays)
 		b := &p.tenants[e.Tenant]
-		if !b.take(p.now, 1, part, max(part, 1)) {
-			m.worth *= p.set.OverShareWorth
-		}
+		m.overShare = !b.take(p.now, 1, part, max(part, 1))
+	}
+	if m.overShare {
+		m.worth *= p.set.OverShareWorth
 	}
 	p.msgs[m.id] = m
 	m.place = len(p.live)
 	p.live = append(p.live, m)
-	p.later.add(m.deadline-p.margin(), func() { p.look(m) })
+	p.lookAt(m.deadline-p.margin(), m)
 	if p.resume(m, e); m.call == nil {
 		m.dest.queue = append(m.dest.queue, m)
 	}
@@ -208,8 +219,11 @@
 			l = &line{}
 			p.lines[m.key] = l
 		}
-		l.turns = append(l.turns, m)
+		if l.join(m, e.Spilled); l.follows(m) && p.now < m.deadline-p.margin() {
+			p.spill(m)
+		}
 	}
+	p.trim(m.dest)
 }
 
 // value is what a message is worth if it is delivered then.
@@ -233,7 +247,7 @@
 	for _, l := range d.lanes {
 		rate += p.pace(l)
 	}
-	wait := float64(len(d.queue)) / max(rate*float64(d.kind.Batch), 0.1)
+	wait := float64(len(d.queue)+d.spilled) / max(rate*float64(d.kind.Batch), 0.1)
 	return Time(min(wait, 60)*1e6) + p.usual(d)
 }
 
@@ -250,7 +264,7 @@
 // shed keeps a little room: a message turned away unseen may be worth more than the least one held, and those
 // whose destination is out or resting for long must not take the room of the others.
 func (p *Policy) shed() {
-	for p.set.MaxHeld > 0 && len(p.live) > p.set.MaxHeld-max(1, p.set.MaxHeld/heldReserve) {
+	for p.set.MaxHeld > 0 && len(p.live)+p.spilled > p.set.MaxHeld-max(1, p.set.MaxHeld/heldReserve) {
 		var least *message
 		low := math.Inf(1)
 		for _, d := range p.dests { // the same for all that wait there
@@ -313,6 +327,8 @@
 	p.live[m.place], last.place = last, m.place
 	p.live = p.live[:len(p.live)-1]
 	m.dest.queue = slices.DeleteFunc(m.dest.queue, func(x *message) bool { return x == m })
+	p.lacks(m.dest)
+	p.sweep()
 	if m.call == nil {
 		p.forget(m)
 	}
@@ -322,24 +338,33 @@
 func (p *Policy) forget(m *message) {
 	delete(p.msgs, m.id)
 	if l := p.lines[m.key]; l != nil && m.class.InOrder {
-		l.turns = slices.DeleteFunc(l.turns, func(x *message) bool { return x == m })
-		for _, x := range l.turns[:min(1, len(l.turns))] {
-			p.touch(x.dest)
-		}
-		if len(l.turns) == 0 {
-			p.later.add(l.rest, func() {
-				if len(l.turns) == 0 && l.rest <= p.now {
-					delete(p.lines, m.key)
-				}
-			})
-		}
+		l.part(m)
+		p.next(m.key, l)
+	}
+}
+
+// next gives the first of a line its turn; a line with none is dropped once its rest is over.
+func (p *Policy) next(key uint64, l *line) {
+	for _, x := range l.turns[:min(1, len(l.turns))] {
+		p.touch(x.dest)
+	}
+	if len(l.turns) == 0 {
+		p.put(l.rest, func() {
+			if len(l.turns) == 0 && l.spilled == 0 && l.rest <= p.now {
+				delete(p.lines, key)
+			}
+		})
 	}
 }
 
 // expire does what was put off to this moment.
 func (p *Policy) expire() {
-	for f, ok := p.later.due(p.now); ok; f, ok = p.later.due(p.now) {
-		f()
+	for t, ok := p.later.due(p.now); ok; t, ok = p.later.due(p.now) {
+		if t.look != nil {
+			p.look(t.look)
+		} else {
+			t.run()
+		}
 	}
 }
 
@@ -358,7 +383,7 @@
 func (p *Policy) giveBack(ep *endpoint) {
 	left := ep.idleAt + p.keep(ep) - p.now
 	if ep.watched = ep.flying == 0 && left > 0; ep.watched {
-		p.later.add(p.now+min(left, p.set.KeepAlive/8+1), func() { p.giveBack(ep) }) // keep may have changed
+		p.put(p.now+min(left, p.set.KeepAlive/8+1), func() { p.giveBack(ep) }) // keep may have changed
 	} else if ep.flying == 0 {
 		ep.conns = 0
 		p.act(Action{Kind: ActClose, Endpoint: ep.id})
@@ -435,7 +460,8 @@
 		p.finish(m)
 	default:
 		m.dest.queue = append(m.dest.queue, m)
-		p.later.add(p.now, func() { p.look(m) })
+		p.lookAt(p.now, m)
+		p.trim(m.dest)
 	}
 }
 
@@ -676,7 +702,7 @@
 		}
 	}
 	if at += worn; c.left > 0 && at > p.now {
-		p.later.add(min(at, again), func() { p.review(c) })
+		p.put(min(at, again), func() { p.review(c) })
 		return
 	}
 	for _, m := range c.msgs {
@@ -861,8 +887,10 @@
 		return false
 	}
 	l := p.lines[m.key]
-	if m.class.InOrder && m.key != 0 && (l == nil || l.turns[0] != m || m.tries == 0 && l.rest > p.now) {
-		return false
+	if m.class.InOrder && m.key != 0 {
+		if l == nil || l.turns[0] != m || l.ahead() || m.tries == 0 && l.rest > p.now {
+			return false
+		}
 	}
 	if m.doubtAt > 0 && m.class.Repeat == Keyed && m.class.ZoneOnly && ep.zone != m.doubtIn {
 		return false
@@ -938,7 +966,7 @@
 	}
 	if at := p.opens(d); at < math.MaxInt64 && (d.wakeAt <= p.now || at < d.wakeAt) {
 		d.wakeAt = max(at, p.now+p.set.Tick)
-		p.later.add(d.wakeAt, func() { p.touch(d) })
+		p.put(d.wakeAt, func() { p.touch(d) })
 	}
 }
 
@@ -1041,6 +1069,7 @@
 		return
 	}
 	m.dest.queue = slices.DeleteFunc(m.dest.queue, func(x *message) bool { return x == m })
+	p.lacks(m.dest)
 	m.call = c
 	p.aloft++
 	m.tries++
@@ -1069,6 +1098,67 @@
 	return min(c.last, p.now+Time(span))
 }
 
+// ---- backlog
+
+// trim spills what a queue holds beyond the head that memory has of it, the latest deadline first.
+func (p *Policy) trim(d *dest) {
+	for most := p.set.MaxResident; most > 0; {
+		if len(d.queue) <= p.head() && (len(p.live) <= most || len(d.queue) <= p.least()) {
+			return
+		}
+		var last *message
+		for _, m := range d.queue {
+			if (last == nil || m.deadline >= last.deadline) && p.mayLeave(m) {
+				last = m
+			}
+		}
+		if last == nil {
+			return
+		}
+		p.spill(last)
+	}
+}
+
+// head is how many messages of one destination memory holds at most, and least how many of each it has room
+// for where all have a backlog.
+func (p *Policy) head() int  { return min(headMost, p.set.MaxResident) }
+func (p *Policy) least() int { return min(leastMost, max(1, p.set.MaxResident/len(p.dests))) }
+
+// mayLeave reports whether a queued message may be spilled: not one that would have to be loaded at once or
+// only waits for its end, and of a key in order the last one alone, none of which has left yet.
+func (p *Policy) mayLeave(m *message) bool {
+	if p.loadBy(m) <= p.now || p.spent(m) {
+		return false
+	}
+	l := p.lines[m.key]
+	return !m.class.InOrder || l == nil || l.spilled == 0 && l.turns[len(l.turns)-1] == m
+}
+
+// loadBy is the moment by which a spilled message has to be back.
+func (p *Policy) loadBy(m *message) Time {
+	if by := p.repeatBy(m); by > 0 {
+		return min(by, m.deadline-p.margin()) - loadLead
+	}
+	return m.deadline - p.margin() - loadLead
+}
+
+// refill asks for spilled messages where memory holds less than half a head, as far as there is room.
+func (p *Policy) refill() {
+	for _, d := range p.lacking {
+		d.lacking = false
+		have, n := len(d.queue)+d.asked, 0
+		if have < p.head()/2 {
+			n = min(p.head()*3/4-have, p.set.MaxResident-len(p.live)-p.loading)
+		}
+		if n = min(max(n, p.least()-have), d.spilled-d.asked); n > 0 {
+			d.asked += n
+			p.loading += n
+			p.act(Action{Kind: ActLoad, Dest: d.id, Count: n})
+		}
+	}
+	p.lacking = p.lacking[:0]
+}
+
 // ---- drain
 
 // drainOff empties the relay of its clients. What is held, or still handed in, is delivered as ever: the
@@ -1080,7 +1170,7 @@
 	since := p.now
 	p.drained = since
 	p.act(Action{Kind: ActSayNo})
-	p.later.add(since+drainHeed, func() {
+	p.put(since+drainHeed, func() {
 		if p.drained == since { // not undone meanwhile
 			p.act(Action{Kind: ActRelease})
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -10,18 +10,19 @@
 
 // Policy decides for one relay.
 type Policy struct {
-	set      Settings
-	rng      *rand.Rand
-	now      Time
-	out      []Action
-	dests    []*dest // by number
-	eps      map[Endpoint]*endpoint
-	msgs     map[uint32]*message
-	live     []*message // not yet ended
-	lines    map[uint64]*line
-	later    agenda[func()] // what is put off
-	touched  []*dest        // to be looked at in this turn
-	ready    []*dest        // wait for nothing but a slot
+	set     Settings
+	rng     *rand.Rand
+	now     Time
+	out     []Action
+	dests   []*dest // by number
+	eps     map[Endpoint]*endpoint
+	msgs    map[uint32]*message
+	live    []*message // not yet ended
+	lines   map[uint64]*line
+	later   agenda[task] // what is put off
+	touched []*dest      // to be looked at in this turn
+	ready   []*dest      // wait for nothing but a slot
+	backlog
 	tenants  []bucket
 	calls    int
 	lastCall uint32
@@ -46,6 +47,9 @@
 	touched bool
 	wakeAt  Time // next moment in wakes
 	clearAt Time // when what waits there will have gone, as last looked at
+	spilled int  // messages that the log alone has
+	asked   int  // of these, asked for
+	lacking bool // in Policy.lacking
 	pick    *message
 	pickAt  *endpoint
 	pickVal float64
@@ -100,22 +104,23 @@
 
 // message is held until it is ended, and known until its last attempt is over.
 type message struct {
-	id       uint32
-	key      uint64
-	class    *Class
-	dest     *dest
-	aimAt    Time
-	deadline Time
-	worth    float64
-	loss     float64 // of worth, if it waits: as last weighed
-	over     bool
-	kept     bool // an earlier process took it on, it has surely not run, and no call has reached anybody since
-	place    int  // in Policy.live
-	tries    int
-	doubtAt  Time      // send of the first attempt that may have run; 0 for none
-	doubtIn  int       // its zone
-	failedAt *endpoint // where its last attempt failed
-	call     *call
+	id        uint32
+	key       uint64
+	class     *Class
+	dest      *dest
+	aimAt     Time
+	deadline  Time
+	worth     float64
+	loss      float64 // of worth, if it waits: as last weighed
+	over      bool
+	overShare bool // its tenant was over its share
+	kept      bool // an earlier process took it on, it has surely not run, and no call has reached anybody since
+	place     int  // in Policy.live
+	tries     int
+	doubtAt   Time      // send of the first attempt that may have run; 0 for none
+	doubtIn   int       // its zone
+	failedAt  *endpoint // where its last attempt failed
+	call      *call
 }
 
 // call is one call out, with the messages that share it.
@@ -131,8 +136,11 @@
 
 // line is the turn of one key in the classes that keep order.
 type line struct {
-	turns []*message
-	rest  Time
+	turns   []*message
+	rest    Time
+	spilled int   // messages of it that the log alone has
+	gap     int   // their place in turns
+	to      *dest // all of them go there
 }
 
 func (p *Policy) act(a Action) { p.out = append(p.out, a) }
@@ -148,7 +156,7 @@
 // resume gives a message that an earlier process took on its past back. It may have nothing left but its end.
 func (p *Policy) resume(m *message, e *Event) {
 	if m.tries = e.Tries; m.tries > 0 {
-		p.later.add(p.now, func() { p.look(m) })
+		p.lookAt(p.now, m)
 	}
 	if e.DoubtAt > 0 {
 		p.doubt(m, e.DoubtAt, e.DoubtIn)
@@ -186,7 +194,7 @@
 // doubt keeps the first attempt of a message that may have run; the message is looked at when its window ends.
 func (p *Policy) doubt(m *message, sent Time, zone int) {
 	m.doubtAt, m.doubtIn = sent, zone
-	p.later.add(max(m.doubtAt+m.class.DedupWindow-2*p.set.Tick+1, p.now+1), func() { p.look(m) })
+	p.lookAt(max(m.doubtAt+m.class.DedupWindow-2*p.set.Tick+1, p.now+1), m)
 }
 
 func (p *Policy) logf(format string, args ...any) {
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -18,6 +18,8 @@
 	firstDoubt              Time
 	doubt, done, wasRefused bool
 	at                      Endpoint
+	tenant                  int
+	spilled, withdrawn      bool
 }
 
 type flight struct {
@@ -44,11 +46,13 @@
 	sends    int
 	refused  int
 	failed   int
+	log      hostLog
+	loads    int
 }
 
 func newChecker(s Settings) *checker {
 	return &checker{set: s, eps: map[Endpoint]Entry{}, badSince: map[Endpoint]Time{}, msgs: map[uint32]*heldMsg{},
-		waits: map[string]Time{}, order: map[uint64][]uint32{}, rest: map[uint64]Time{}}
+		waits: map[string]Time{}, order: map[uint64][]uint32{}, rest: map[uint64]Time{}, log: hostLog{asked: map[int]int{}}}
 }
 
 func (c *checker) fault(now Time, format string, args ...any) {
@@ -130,6 +134,8 @@
 			return
 		case m.done:
 			c.fault(now, "send of %d after its end", a.Message)
+		case m.spilled:
+			c.fault(now, "send of %d, which is spilled", a.Message)
 		case m.out:
 			c.fault(now, "two attempts of %d at once", a.Message)
 		case !known || x.Dest != m.dest:
@@ -175,7 +181,7 @@
 		m.out, m.at = true, a.Endpoint
 		c.flights = append(c.flights, flight{msg: a.Message, attempt: m.tries - 1, at: a.Endpoint, cut: a.At})
 	case ActRefuse, ActFail:
-		if m == nil || m.done {
+		if m == nil || m.done || m.spilled {
 			c.fault(now, "second answer for %d", a.Message)
 			return
 		}
@@ -193,6 +199,19 @@
 		if open && (cl.Repeat == Unsafe || cl.Repeat == Keyed && cl.ZoneOnly) {
 			c.fault(now, "refused %d which may have run", a.Message)
 		}
+	case ActSpill:
+		if m != nil && m.done && m.withdrawn { // in the same turn, after it was spilled
+			c.log.gone = append(c.log.gone, Event{Kind: EvWithdraw, Message: a.Message, Spilled: true, Dest: m.dest, Class: m.class, Key: m.key})
+			return
+		}
+		if m == nil || m.done || m.spilled || m.out {
+			c.fault(now, "spill of %d, which cannot be: %+v", a.Message, m)
+			return
+		}
+		m.spilled = true
+		c.log.spill(a)
+	case ActLoad:
+		c.log.asked[a.Dest] += a.Count
 	case ActTimer:
 		c.timers = append(c.timers, flight{due: now + a.After})
 	case ActProbe:
@@ -250,9 +269,16 @@
 
 // play runs a seeded random legal day against a policy and returns the checker and all that was asked.
 func play(t testing.TB, seed uint64, steps int) (*checker, []string) {
+	t.Helper()
+	return playResident(t, seed, steps, 0)
+}
+
+// playResident is play with so many messages in memory at most.
+func playResident(t testing.TB, seed uint64, steps, resident int) (*checker, []string) {
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 7))
 	set := testSettings(r)
+	set.MaxResident = resident
 	p, err := New(set, seed)
 	if err != nil {
 		t.Fatal(err)
@@ -278,15 +304,16 @@
 			c.action(now, a)
 		}
 		c.finish(now)
+		c.oneInMemory(now, p)
 		events = nil
 		now = c.until(now, now+5000*(1+Time(r.IntN(20))))
 		if r.IntN(100) == 0 { // a restart: the books of this life are closed, the list may be old
 			if p, err = New(set, seed+uint64(step)); err != nil {
 				t.Fatal(err)
 			}
-			errs, s, re, f := c.errs, c.sends, c.refused, c.failed
+			errs, s, re, f, n := c.errs, c.sends, c.refused, c.failed, c.loads
 			c = newChecker(set)
-			c.errs, c.sends, c.refused, c.failed = errs, s, re, f
+			c.errs, c.sends, c.refused, c.failed, c.loads = errs, s, re, f, n
 			e := Event{Kind: EvList, List: ListCached, Entries: entries}
 			c.list(now, e)
 			events = append(events, e)
@@ -327,6 +354,7 @@
 			c.arrive(now, e, seq)
 			events = append(events, e)
 		}
+		events = append(events, c.load(now, r)...)
 		var still []flight
 		for _, f := range c.flights {
 			if r.IntN(4) != 0 && f.cut > now {
@@ -362,8 +390,8 @@
 		c.probes = nil
 		if r.IntN(50) == 0 && next > 1 {
 			id := next - 1
-			if m := c.msgs[id]; m != nil && !m.done {
-				m.done = true
+			if m := c.msgs[id]; m != nil && !m.done && !m.spilled {
+				m.done, m.withdrawn = true, true
 				events = append(events, Event{Kind: EvWithdraw, Message: id})
 			}
 		}
@@ -388,6 +416,9 @@
 	for _, f := range c.flights {
 		then = min(then, max(f.cut, now+1))
 	}
+	for _, a := range c.log.entries {
+		then = min(then, max(a.At, now+1))
+	}
 	return then
 }
 
