Read messages by reference from the log, and keep 16 bytes for each in a store

What memory does not hold has to be found in the log and read back in the order of its deadlines. The log gives each message that it books or reads a reference, good for as long as the message is owed, and reads any set of them in the order of the files; Owes answers whether an id is ours. Fetch gives only what was owed at the start, as its comment had it: a message taken on since could be handed out as one of those. internal/backlog keeps the references by destination and deadline.

--- /dev/null
+++ b/internal/backlog/backlog_test.go
@@ -0,0 +1,166 @@
+package backlog
+
+import (
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// model is a store in the plainest form: all items in the order in which they came.
+type model []Item
+
+func (m *model) remove(i int) Item {
+	x := (*m)[i]
+	*m = slices.Delete(*m, i, i+1)
+	return x
+}
+
+// front is the first of those in order of a destination; -1 for none.
+func (m model) front(dest int) int {
+	return slices.IndexFunc(m, func(x Item) bool { return x.Dest == dest && x.Flags&InOrder != 0 })
+}
+
+// earliest is what may be taken next of a destination.
+func (m model) earliest(dest int) int {
+	best := -1
+	for i, x := range m {
+		if x.Dest == dest && (x.Flags&InOrder == 0 || i == m.front(dest)) && (best < 0 || x.At < m[best].At) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (m model) next() (at int64, ok bool) {
+	for i, x := range m {
+		if i == 0 || x.At < at {
+			at = x.At
+		}
+	}
+	return at, len(m) > 0
+}
+
+// A store gives what a plain list of all would give.
+func TestStoreOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Store
+		var m model
+		ref := uint32(0)
+		same := func(got Item, what string) { // of equal moments any may come first, but of those in order the first
+			t.Helper()
+			i := slices.IndexFunc(m, func(x Item) bool { return x == got })
+			if i < 0 {
+				t.Fatalf("%s gives %+v, which is not there", what, got)
+			}
+			if got.Flags&InOrder != 0 && i != m.front(got.Dest) {
+				t.Fatalf("%s gives %+v before %+v", what, got, m[m.front(got.Dest)])
+			}
+			m.remove(i)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				ref++
+				x := Item{Entry{At: rapid.Int64Range(0, 30).Draw(t, "at"), Ref: ref, Flags: Flags(rapid.IntRange(0, 7).Draw(t, "flags"))},
+					rapid.IntRange(0, 4).Draw(t, "dest")}
+				s.Add(x.Dest, x.Entry)
+				m = append(m, x)
+			},
+			"take": func(t *rapid.T) {
+				dest, n := rapid.IntRange(0, 4).Draw(t, "dest"), rapid.IntRange(0, 5).Draw(t, "n")
+				want := min(n, s.Of(dest))
+				got := s.Take(dest, n)
+				if len(got) != want {
+					t.Fatalf("%d of %d", len(got), want)
+				}
+				for _, x := range got {
+					if i := m.earliest(dest); m[i].At != x.At {
+						t.Fatalf("takes %+v before %+v", x, m[i])
+					}
+					same(x, "take")
+				}
+			},
+			"due": func(t *rapid.T) {
+				now, n := rapid.Int64Range(-1, 31).Draw(t, "now"), rapid.IntRange(0, 8).Draw(t, "n")
+				got := s.Due(now, n)
+				for _, x := range got {
+					if at, _ := m.next(); at > now {
+						t.Fatalf("gives %+v at %d: the first is due at %d", x, now, at)
+					}
+					if x.At > now { // only where one in order behind it is due
+						if !slices.ContainsFunc(m, func(y Item) bool { return y.Dest == x.Dest && y.Flags&InOrder != 0 && y.At <= now }) || x.Flags&InOrder == 0 {
+							t.Fatalf("gives %+v at %d", x, now)
+						}
+					}
+					same(x, "due")
+				}
+				if at, ok := m.next(); len(got) < n && ok && at <= now {
+					t.Fatalf("gives %d of %d, and one is due at %d", len(got), n, at)
+				}
+			},
+			"": func(t *rapid.T) {
+				at, ok := s.Next()
+				if want, any := m.next(); s.Len() != len(m) || ok != any || at != want {
+					t.Fatalf("%d items, first at %d (%v); want %d, %d (%v)", s.Len(), at, ok, len(m), want, any)
+				}
+				for dest := range 5 {
+					n := 0
+					for _, x := range m {
+						if x.Dest == dest {
+							n++
+						}
+					}
+					if s.Of(dest) != n {
+						t.Fatalf("%d of destination %d, want %d", s.Of(dest), dest, n)
+					}
+				}
+			},
+		})
+	})
+}
+
+// A million messages take up 16 bytes each and what a growing slice spares, and give that back.
+func TestStoreMemory(t *testing.T) {
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	const n = 1_000_000
+	before := heap()
+	var s Store
+	r := rand.New(rand.NewPCG(1, 2))
+	for i := range n {
+		s.Add(i%600, Entry{At: r.Int64N(1e12), Ref: uint32(i)})
+	}
+	if per := float64(heap()-before) / n; per > 26 {
+		t.Errorf("%.1f bytes a message", per)
+	} else {
+		t.Logf("%.1f bytes a message", per)
+	}
+	last := int64(-1)
+	for _, x := range s.Due(1e12, n) {
+		if x.At < last {
+			t.Fatal("out of order")
+		}
+		last = x.At
+	}
+	if left := heap() - before; left > 1<<20 || s.Len() != 0 {
+		t.Errorf("%d bytes and %d messages left", left, s.Len())
+	}
+	runtime.KeepAlive(&s)
+}
+
+func BenchmarkStore(b *testing.B) {
+	var s Store
+	r := rand.New(rand.NewPCG(1, 2))
+	for i := range 300_000 {
+		s.Add(7, Entry{At: r.Int64N(1e12), Ref: uint32(i)})
+	}
+	for b.Loop() {
+		s.Add(7, s.Take(7, 1)[0].Entry)
+	}
+}
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"cmp"
 	"slices"
 
 	"troutusher/internal/mailbox"
@@ -23,6 +24,7 @@
 	done   chan struct{}
 	order  []uint32 // entries that were not read yet, what was owed longest first
 	read   reader
+	load   reader // of Read
 	Side   *Side  // of the process before, where that lives
 	By     int    // this process, among those that opened the log
 	Memory []byte // of the policy of the process that passed the log on; nil where none did
@@ -86,20 +88,71 @@
 		l.c.log.Error("log: message is lost", "id", r.ID, "err", err)
 		r.Lost = true
 	}
+	r.Ref = Ref(i + 1)
 	l.c.idx.at(i).flags |= entryRead
 	return r
 }
 
-// Fetch reads one message ahead of its turn; nil where it is not owed, or was
-// read already. Before Run, and on the log's goroutine.
+// Fetch reads one message that was owed at the start ahead of its turn; nil where
+// it is not, or was read already. Before Run, and on the log's goroutine.
 func (l *Log) Fetch(id string) *Record {
 	i, ok := l.c.idx.find(l.c.idx.keyOf(id))
-	if !ok || l.c.after != nil || l.c.idx.at(i).flags&entryRead != 0 {
+	if !ok || l.c.after != nil || l.c.idx.at(i).flags&(entryFirst|entryRead) != entryFirst {
 		return nil
 	}
 	return l.hand(i)
 }
 
+// Owes reports whether a message is owed and its end is not settled yet. On the
+// log's goroutine.
+func (l *Log) Owes(id string) bool {
+	i, ok := l.c.idx.find(l.c.idx.keyOf(id))
+	if !ok || l.c.after != nil {
+		return false
+	}
+	x := l.c.idx.extras[i]
+	return x == nil || x.notice == ""
+}
+
+// Read reads messages that are owed, with their state as it is now; nil stands
+// for one that is owed no longer, and one with no id cannot be read at present.
+// On the log's goroutine.
+func (l *Log) Read(refs []Ref) []*Record {
+	recs := make([]*Record, len(refs))
+	l.load.scan.most = loadWindow
+	for _, n := range l.byPlace(refs) {
+		ref := refs[n]
+		r, err := l.c.message(uint32(ref)-1, &l.load)
+		if err != nil {
+			l.c.log.Error("log: message cannot be read", "id", r.ID, "err", err)
+			r.Lost = r.ID != ""
+		}
+		r.Ref = ref
+		recs[n] = r
+	}
+	return recs
+}
+
+// loadWindow is how much Read reads at a time: what it wants stands wherever it
+// was written, and seldom in a row.
+const loadWindow = 8 << 10
+
+// byPlace gives the places in refs of those that are owed, as their records stand
+// in the files.
+func (l *Log) byPlace(refs []Ref) []int {
+	order := make([]int, 0, len(refs))
+	for n, ref := range refs {
+		if ref != 0 && l.c.after == nil && uint32(ref) <= l.c.idx.used && l.c.idx.at(uint32(ref)-1).flags&entryLive != 0 {
+			order = append(order, n)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		x, y := l.c.idx.at(uint32(refs[a])-1), l.c.idx.at(uint32(refs[b])-1)
+		return cmp.Or(cmp.Compare(x.src, y.src), cmp.Compare(x.off, y.off))
+	})
+	return order
+}
+
 // Submit hands a record over. It never waits.
 func (l *Log) Submit(r *Record, then func(error)) { l.in.Put(op{rec: r, then: then}) }
 
--- /dev/null
+++ b/internal/wal/read_test.go
@@ -0,0 +1,86 @@
+package wal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// A reference gives its message with its state as it is now, in whatever order, before a checkpoint moves the
+// record, while it does and after, and names no other once its message is over.
+func TestReadByReference(t *testing.T) {
+	l, _ := openTest(t, t.TempDir(), 64<<20)
+	const n = 3000
+	recs := make([]*Record, n)
+	for i := range n {
+		recs[i] = taken(fmt.Sprint("m", i), strings.Repeat("b", i%300)+fmt.Sprint(i))
+		mustAppend(t, l, recs[i])
+		if recs[i].Ref == 0 {
+			t.Fatalf("%s has no reference", recs[i].ID)
+		}
+	}
+	again := taken("m7", "again") // owed already: what is read by a reference is the first
+	mustAppend(t, l, again)
+	if again.Ref != 0 {
+		t.Error("a second record of one message has a reference")
+	}
+	mustAppend(t, l, &Record{Kind: Attempt, ID: "m5", At: 100, Zone: 1, To: "s-1", By: l.By}, &Record{Kind: Outcome, ID: "m5", Ran: true})
+	check := func(when string) {
+		t.Helper()
+		order := rand.New(rand.NewPCG(1, 2)).Perm(n)
+		refs := make([]Ref, n)
+		for k, i := range order {
+			refs[k] = recs[i].Ref
+		}
+		for k, r := range l.Read(refs) {
+			if i := order[k]; r == nil || r.ID != recs[i].ID || string(r.Body) != string(recs[i].Body) || r.Ref != recs[i].Ref {
+				t.Fatalf("%s: reference of m%d gives %+v", when, i, r)
+			}
+		}
+		if r := l.Read([]Ref{recs[5].Ref})[0]; r.Tries != 1 || r.Doubt != 100 || r.DoubtIn != 1 {
+			t.Fatalf("%s: state %+v", when, r)
+		}
+	}
+	check("in segments")
+	if err := l.c.startCheckpoint(); err != nil {
+		t.Fatal(err)
+	}
+	for l.c.job != nil {
+		if _, err := l.c.stepCheckpoint(64 << 10); err != nil {
+			t.Fatal(err)
+		}
+		check("beside a checkpoint")
+	}
+	check("in the checkpoint")
+	mustAppend(t, l, &Record{Kind: End, ID: "m9"})
+	if r := l.Read([]Ref{recs[9].Ref, 0, 1 << 30}); !slices.Equal(r, []*Record{nil, nil, nil}) {
+		t.Errorf("references to nothing give %+v", r)
+	}
+}
+
+// Owes tells what a client that hands a message in again is to hear: ours, or not.
+func TestOwes(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openTest(t, dir, 1<<20)
+	mustAppend(t, l, taken("held", ""), taken("over", ""), taken("ending", ""), &Record{Kind: End, ID: "over"},
+		&Record{Kind: Ending, ID: "ending", Notice: "handed-back"})
+	for id, want := range map[string]bool{"held": true, "over": false, "ending": false, "never": false} {
+		if l.Owes(id) != want {
+			t.Errorf("%s: owed %v", id, !want)
+		}
+	}
+	if r := l.Fetch("held"); r != nil {
+		t.Errorf("fetched as owed at the start: %+v", r)
+	}
+	l.c.shut()
+	l, err := Open(Options{Dir: dir, Limit: 1 << 20, Log: quiet()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.c.shut()
+	if r := l.Fetch("held"); r == nil || r.Ref == 0 || l.Read([]Ref{r.Ref})[0].ID != "held" {
+		t.Errorf("fetched %+v", r)
+	}
+}
--- a/internal/wal/scan.go
+++ b/internal/wal/scan.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"hash/crc32"
 	"regexp"
@@ -14,6 +15,7 @@
 	f    File
 	size int64
 	salt uint32
+	most int // bytes of the window, unless more are wanted; 0 for scanChunk
 	buf  []byte
 	base int64 // place of buf[0]
 	err  error // of a read, for which the rest counts as unreadable
@@ -25,10 +27,11 @@
 		return nil
 	}
 	if off < s.base || off+int64(want) > s.base+int64(len(s.buf)) {
-		if cap(s.buf) < max(want, scanChunk) {
-			s.buf = make([]byte, 0, max(want, scanChunk))
+		size := max(want, cmp.Or(s.most, scanChunk))
+		if cap(s.buf) < size {
+			s.buf = make([]byte, 0, size)
 		}
-		n, err := s.f.ReadAt(s.buf[:int(min(int64(cap(s.buf)), s.size-off))], off)
+		n, err := s.f.ReadAt(s.buf[:int(min(int64(size), s.size-off))], off)
 		s.base, s.buf = off, s.buf[:n]
 		if n < want {
 			s.err = err
--- a/internal/wal/state.go
+++ b/internal/wal/state.go
@@ -472,7 +472,7 @@
 
 func (x *reader) of(src *source) *scanner {
 	if x.ref != src.ref || x.scan.f != src.f {
-		x.ref, x.scan = src.ref, scanner{f: src.f, salt: src.salt, buf: x.scan.buf[:0]}
+		x.ref, x.scan = src.ref, scanner{f: src.f, salt: src.salt, most: x.scan.most, buf: x.scan.buf[:0]}
 	}
 	return &x.scan
 }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -86,11 +86,16 @@
 	Slots bool  `json:"slots,omitempty"`
 
 	Body []byte `json:"-"`
+	Ref  Ref    `json:"-"` // taken: where the log has it, once it is booked or was read
 	Sync bool   `json:"-"` // attempt: it must last over a loss of power before it goes out
 
 	living int // mark: the process whose side log is followed; 0 for none
 }
 
+// Ref names a message that is owed, for as long as it is owed and the log is open;
+// 0 names none.
+type Ref uint32
+
 // fold brings a taken record up to date with a later one.
 func (t *Record) fold(r *Record) {
 	switch r.Kind {
