Spill messages from the relay's memory to its log and load them again

An id that is handed in while anything is spilled is looked up in the log. A process that passes on leaves its backlog to the next; messages from a side log, whose clients may still withdraw them, stay in memory. The setting resident gives the bound, a quarter of the memory at 2 KB a message where it is left out; app_spilled and app_loaded show it.

--- a/decide/api.go
+++ b/decide/api.go
@@ -251,6 +251,10 @@
 	Spilled   bool
 	OverShare bool
 
+	// EvMessage: it is never spilled, since it may still be withdrawn where the
+	// host cannot tell which message that is.
+	Stays bool
+
 	// EvMessage, where another process of this relay has the newest of these
 	// attempts still out: its endpoint (0 for none) and its send.
 	Out   Endpoint
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -187,7 +187,7 @@
 	}
 	c := &p.set.Classes[e.Class]
 	m := &message{id: e.Message, key: e.Key, class: c, dest: p.dest(e.Dest), worth: c.Worth,
-		kept: e.Kept && e.DoubtAt == 0}
+		kept: e.Kept && e.DoubtAt == 0, stays: e.Stays}
 	m.deadline = p.now + max(e.Left, 0)
 	m.aimAt = m.deadline - c.Deadline + c.Aim
 	if p.set.WorthByWork && e.Work > 0 {
@@ -219,7 +219,7 @@
 			l = &line{}
 			p.lines[m.key] = l
 		}
-		if l.join(m, e.Spilled); l.follows(m) && p.now < m.deadline-p.margin() {
+		if l.join(m, e.Spilled); l.follows(m) && !m.stays && p.now < m.deadline-p.margin() {
 			p.spill(m)
 		}
 	}
@@ -1127,7 +1127,7 @@
 // mayLeave reports whether a queued message may be spilled: not one that would have to be loaded at once or
 // only waits for its end, and of a key in order the last one alone, none of which has left yet.
 func (p *Policy) mayLeave(m *message) bool {
-	if p.loadBy(m) <= p.now || p.spent(m) {
+	if m.stays || p.loadBy(m) <= p.now || p.spent(m) {
 		return false
 	}
 	l := p.lines[m.key]
--- a/decide/state.go
+++ b/decide/state.go
@@ -114,6 +114,7 @@
 	loss      float64 // of worth, if it waits: as last weighed
 	over      bool
 	overShare bool // its tenant was over its share
+	stays     bool // it is never spilled
 	kept      bool // an earlier process took it on, it has surely not run, and no call has reached anybody since
 	place     int  // in Policy.live
 	tries     int
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -127,6 +127,7 @@
 	class  int
 	tenant int
 	left   time.Duration
+	owed   bool // it is in the log already
 	reply  chan string
 }
 
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -106,6 +106,7 @@
 		Known     *discovery.List `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 		Promise   string          `json:"promise"`
+		Resident  *int            `json:"resident"`
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
 		var te *json.UnmarshalTypeError
@@ -152,12 +153,27 @@
 	if err := c.Limits.fill(); err != nil {
 		return nil, fmt.Errorf("config: limits.%w", err)
 	}
+	if f.Resident != nil && *f.Resident < 0 {
+		return nil, fmt.Errorf("config: resident: %d, want 0 or more", *f.Resident)
+	}
 	if len(f.Settings) == 0 {
 		return nil, errors.New("config: settings: missing")
 	}
-	return c, c.read(f.Settings)
+	if err := c.read(f.Settings); err != nil {
+		return nil, err
+	}
+	if c.Policy.MaxResident = residentOf(c.Limits.MemoryMB); f.Resident != nil {
+		c.Policy.MaxResident = *f.Resident
+	}
+	return c, nil
 }
 
+// residentOf is how many messages may be in memory where nothing else is told: a
+// quarter of the memory at 2 KB each, and not so few that a busy hour meets it.
+func residentOf(memoryMB int) int { return max(memoryMB<<20/4/(2<<10), residentLeast) }
+
+const residentLeast = 1000
+
 // read maps the settings object and the names in it.
 func (c *Config) read(text []byte) error {
 	s, err := wire.ParseSettings(text)
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -16,9 +16,10 @@
 type figures struct {
 	lanes []laneFigures // by class, as in the settings
 	// Gauges.
-	pending     atomic.Int64
-	members     atomic.Int64
-	unavailable atomic.Int64
+	pending         atomic.Int64
+	members         atomic.Int64
+	unavailable     atomic.Int64
+	spilled, loaded atomic.Int64 // messages that the log alone has, and how many came back so far
 	// Of the log.
 	unread, damaged, lost, concerned atomic.Int64
 	waits                            atomic.Value // what keeps the relay from being ready; a string
@@ -82,6 +83,7 @@
 			fmt.Fprintf(&b, "%s{lane=%s} %d\n", c.name, strconv.Quote(l.name), c.of(l).Load())
 		}
 	}
+	fmt.Fprintf(&b, "# HELP app_loaded Messages read back from the log after they were spilled.\n# TYPE app_loaded counter\napp_loaded %d\n", f.loaded.Load())
 	for _, g := range []struct {
 		name, help string
 		v          *atomic.Int64
@@ -89,6 +91,7 @@
 		{"app_pending", "Messages taken and not ended.", &f.pending},
 		{"app_members", "Endpoints on the list.", &f.members},
 		{"app_members_unavailable", "Endpoints on the list that the relay avoids now.", &f.unavailable},
+		{"app_spilled", "Messages pending that are in the log alone, not in memory.", &f.spilled},
 		{"app_log_unread", "Messages owed at the start that are still to be read.", &f.unread},
 		{"app_log_damaged", "Damaged stretches found in the log at the start.", &f.damaged},
 		{"app_log_lost", "Messages that damage to the log took; each was given up.", &f.lost},
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"troutusher/decide"
+	"troutusher/internal/backlog"
 	"troutusher/internal/discovery"
 	"troutusher/internal/mailbox"
 	"troutusher/internal/wal"
@@ -46,8 +47,9 @@
 	away    bool     // another process of this relay holds it
 	far     bool     // another process of this relay has its call out
 	tries   int
-	pending *batch      // a send that waits for clients to have heard
-	ending  *wal.Record // its end, likewise
+	pending *batch         // a send that waits for clients to have heard
+	ending  *wal.Record    // its end, likewise
+	spill   *backlog.Entry // the log alone is to have it, likewise
 	call    *call
 }
 
@@ -90,6 +92,8 @@
 	passed  bool             // the log was passed on, with ok
 	resumed *resumed         // messages that were owed at the start
 	looked  bool             // put: the log was asked whether it is owed already
+	loaded  *loaded          // messages that were spilled
+	forgone *decide.Event    // a spilled message is over
 	failed  error            // of the log, for good
 }
 
@@ -113,6 +117,7 @@
 	policy    *decide.Policy
 	in        *mailbox.Mailbox[happening]
 	wal       *wal.Log
+	spills    spills
 	resuming  bool  // messages that were owed at the start are still being read
 	skew      int64 // µs by which the machine's clock was set back since the log was written last
 	failed    error // the log can keep nothing more: this process ends
@@ -280,8 +285,9 @@
 	return told
 }
 
-// restore takes up what an earlier process left owed.
-func (r *Relay) restore(owed []*wal.Record) {
+// restore takes up what an earlier process left owed; that which may still be
+// withdrawn stays in memory.
+func (r *Relay) restore(owed []*wal.Record, stays bool) {
 	for _, rec := range owed {
 		m := r.newMessage(rec)
 		m.heard, m.logged, m.tries = true, true, rec.Tries
@@ -298,21 +304,14 @@
 			r.log.Error("lost", "message", rec.ID)
 			continue
 		}
-		class, ok := r.cfg.classes[rec.Class]
-		if !ok { // the settings have changed: nothing is promised of its effect
+		if m.class < 0 { // the settings have changed: nothing is promised of its effect
 			m.over = true
 			r.drop(m)
 			r.end(m, discovery.GivenUp, 0)
 			continue
 		}
-		e := decide.Event{Kind: decide.EvMessage, Message: m.num, Class: class, Dest: rec.Dest, Tenant: -1,
-			Left: r.fromWall(rec.Deadline) - r.now(), Kept: true, Tries: rec.Tries, DoubtIn: rec.DoubtIn}
-		if t, ok := r.cfg.tenants[rec.Tenant]; ok {
-			e.Tenant = t
-		}
-		if rec.Doubt != 0 {
-			e.DoubtAt = max(r.fromWall(rec.Doubt), 1)
-		}
+		e := r.owedEvent(m)
+		e.Kept, e.Stays = true, stays
 		if rec.Out != 0 {
 			m.far, r.far[rec.ID] = true, m
 			e.Out, e.OutAt = r.number(rec.OutTo), r.fromWall(rec.Out)
@@ -323,6 +322,21 @@
 	}
 }
 
+// owedEvent tells the policy of a message that the log has had for a while, with
+// its state.
+func (r *Relay) owedEvent(m *message) decide.Event {
+	rec := m.rec
+	e := decide.Event{Kind: decide.EvMessage, Message: m.num, Class: m.class, Dest: rec.Dest, Tenant: -1,
+		Left: r.fromWall(rec.Deadline) - r.now(), Tries: rec.Tries, DoubtIn: rec.DoubtIn}
+	if t, ok := r.cfg.tenants[rec.Tenant]; ok {
+		e.Tenant = t
+	}
+	if rec.Doubt != 0 {
+		e.DoubtAt = max(r.fromWall(rec.Doubt), 1)
+	}
+	return e
+}
+
 // resumeMost is how many messages are read at a time of those that were owed at
 // the start: clients are served in between.
 const resumeMost = 2000
@@ -341,7 +355,7 @@
 	if x.from != r.wal || r.owner.passed {
 		return // of a log that was passed on
 	}
-	r.restore(x.recs)
+	r.restore(x.recs, false)
 	if x.left < 0 { // one that a client asked for ahead of its turn
 		return
 	}
@@ -356,14 +370,16 @@
 	}
 }
 
-// lookUp asks the log whether a message that is handed in is one of those that
-// were owed at the start and not read yet. It is admitted once that is known.
+// lookUp asks the log whether a message that is handed in is owed already, but
+// was not read yet since the start, or is spilled. It is admitted once that is
+// known.
 func (r *Relay) lookUp(q *request) {
 	w := r.wal
 	w.Do(func() {
 		if rec := w.Fetch(q.rec.ID); rec != nil {
 			r.in.Put(happening{resumed: &resumed{w, []*wal.Record{rec}, -1}})
 		}
+		q.owed = w.Owes(q.rec.ID)
 		r.in.Put(happening{put: q, looked: true})
 	})
 }
@@ -424,7 +440,7 @@
 		if r.cfg.Operator != "" { // what is avoided changes by time alone, too
 			wait = min(wait, showEvery)
 		}
-		wait = min(wait, r.owner.every())
+		wait = min(wait, r.owner.every(), r.spills.wait(r.now()))
 		timer.Reset(max(wait, 0))
 		select {
 		case <-r.in.Ready():
@@ -453,6 +469,7 @@
 		if len(r.events) > 0 {
 			r.step()
 		}
+		r.load()
 		if r.cfg.Operator != "" && r.now()-r.shownAt >= showLeast {
 			r.show()
 		}
@@ -505,12 +522,16 @@
 // take books one happening and says it in the policy's words.
 func (r *Relay) take(h happening) {
 	switch {
-	case h.put != nil && r.resuming && !h.looked && !r.owner.passed && r.ids[h.put.rec.ID] == nil:
+	case h.put != nil && (r.resuming || r.spills.count() > 0) && !h.looked && !r.owner.passed && r.ids[h.put.rec.ID] == nil:
 		r.lookUp(h.put)
 	case h.put != nil:
 		r.admit(h.put)
 	case h.resumed != nil:
 		r.resume(h.resumed)
+	case h.loaded != nil:
+		r.back(h.loaded)
+	case h.forgone != nil:
+		r.events = append(r.events, *h.forgone)
 	case h.failed != nil:
 		r.logFailed(h.failed)
 	case h.said != nil:
@@ -549,13 +570,13 @@
 func (r *Relay) admit(q *request) {
 	q.rec.Deadline += r.skew
 	switch old := r.ids[q.rec.ID]; {
-	case r.owner.passed && old == nil:
+	case r.owner.passed && old == nil && !q.owed:
 		r.takeOnFor(q)
 		return
 	case !r.stopAt.IsZero() && !r.owner.passed:
 		r.turnAway(q, stopRetry)
 		return
-	case old != nil && old.heard: // it is ours already
+	case old != nil && old.heard, old == nil && q.owed: // it is ours already
 		q.answer(replyOK)
 		return
 	case old != nil:
@@ -591,6 +612,7 @@
 		m.ending = nil
 		r.end(m, e.Notice, e.RetryMS)
 	}
+	r.letGo(m)
 }
 
 // lost: the log has no room for the message, so it is not taken on.
@@ -617,7 +639,7 @@
 	if !m.over {
 		m.over = true
 		r.drop(m)
-		r.events = append(r.events, decide.Event{Kind: decide.EvWithdraw, Message: m.num})
+		r.events = append(r.events, decide.Event{Kind: decide.EvWithdraw, Message: m.num, Spilled: m.spill != nil, Dest: m.rec.Dest})
 	}
 	r.takeBack(m)
 }
@@ -900,6 +922,10 @@
 		if !r.resuming {
 			r.setReady()
 		}
+	case decide.ActSpill:
+		r.spill(a)
+	case decide.ActLoad:
+		r.ask(a)
 	case decide.ActLog:
 		r.log.Info("policy", "says", a.Text)
 	}
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -117,7 +117,7 @@
 	r.resuming = w.Owed() > 0
 	r.fig.unread.Store(int64(w.Owed()))
 	go w.Run(r.owner.walStop)
-	r.restore(recs)
+	r.restore(recs, false)
 	if r.resuming {
 		r.resumeNext()
 	}
@@ -220,6 +220,7 @@
 	}
 	r.owner.passed, r.resuming = true, false
 	r.fig.unread.Store(0)
+	r.forgetSpilled()
 	for _, m := range r.msgs {
 		if e := m.ending; e != nil { // its client hears of it this moment
 			m.ending = nil
@@ -305,10 +306,12 @@
 func (r *Relay) heard(rec *wal.Record) {
 	m := r.ids[rec.ID]
 	switch far := r.far[rec.ID]; {
+	case rec.Kind == wal.Taken && m == nil && r.isOurs(rec.ID): // its client handed it in again
+		r.wal.Submit(rec, nil)
 	case rec.Kind == wal.Taken && m == nil:
 		side := *rec
 		rec.Side = 0
-		r.restore([]*wal.Record{rec})
+		r.restore([]*wal.Record{rec}, true)
 		m = r.ids[rec.ID]
 		if m == nil { // ended in the same breath
 			return
@@ -378,7 +381,9 @@
 		return fmt.Errorf("config: settings: %w", err)
 	}
 	r.policy = policy
-	r.msgs, r.ids, r.waiting, r.held = map[uint32]*message{}, map[string]*message{}, map[*request]*message{}, 0
+	r.msgs, r.ids, r.waiting = map[uint32]*message{}, map[string]*message{}, map[*request]*message{}
+	r.forgetSpilled()
+	r.held = 0
 	r.owner.passed, r.owner.freed = false, false
 	e := decide.Event{Kind: decide.EvList, List: decide.ListFull}
 	for _, ep := range r.endpoints {
