Hold the backlog to its hard cases on real sockets

SIGKILL with most messages spilled and while they are worked off, a destination that goes again in between, deadlines that pass in the log, an id handed in again, a keyed message in doubt, a full disk, an upgrade and its return, logs of another bound, memory by held message, clients that leave, messages that cannot be read.

--- a/internal/relay/backlog.go
+++ b/internal/relay/backlog.go
@@ -133,7 +133,9 @@
 
 // answered books that a message of a destination is on its way back.
 func (s *spills) answered(dest int) {
-	if s.asked[dest]--; s.asked[dest] <= 0 {
+	if n := s.asked[dest]; n > 1 {
+		s.asked[dest] = n - 1
+	} else {
 		delete(s.asked, dest)
 	}
 }
--- /dev/null
+++ b/internal/relay/backlog_test.go
@@ -0,0 +1,513 @@
+package relay
+
+import (
+	"fmt"
+	"maps"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"troutusher/decide"
+	"troutusher/internal/backlog"
+	"troutusher/internal/discovery"
+	"troutusher/internal/discovery/discoverytest"
+	"troutusher/internal/loopback"
+	"troutusher/internal/wal"
+)
+
+// backlogEnv is a configuration with so many messages in memory at most, and
+// room for many to be held.
+func backlogEnv(t *testing.T, d *discoverytest.Server, diskMB, resident int) map[string]string {
+	t.Helper()
+	env := testConfig(t, d, diskMB)
+	editConfig(t, env, `"most_held":100`, `"most_held":1000000`)
+	editConfig(t, env, `"seed":`, fmt.Sprintf(`"resident":%d,"seed":`, resident))
+	env["ROUTER_OPERATOR"] = loopback.Free()
+	return env
+}
+
+// oneElsewhere is discovery with an endpoint of a destination that nobody writes to.
+func oneElsewhere(t *testing.T) *discoverytest.Server {
+	return discoverytest.New(t, newFakeEndpoint(t, nil).member("s-1", 1))
+}
+
+// putAll hands messages in, a class after the other, and gives their ids.
+func putAll(t *testing.T, cl *testClient, prefix string, n, dest, deadlineMS int) (ids []string) {
+	t.Helper()
+	for i := range n {
+		class := []string{"plain", "once", "keyed"}[i%3]
+		id := fmt.Sprintf("%s%d-%s", prefix, i, class)
+		if s := cl.put(id, fields(class, deadlineMS+i, dest), []byte("body of "+id)); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// spilledAtLeast waits until so many are in the log alone.
+func (c *child) spilledAtLeast(t *testing.T, n int) {
+	t.Helper()
+	waitFor(t, "the backlog", func() bool { return c.figure(t, "app_spilled") >= n })
+}
+
+// endedOnce checks that each message has its end, and no second: it was answered
+// by its endpoint or ended by a notice. With kills, a call that nobody saw the
+// end of may be both.
+func endedOnce(t *testing.T, disc *discoverytest.Server, ids []string, kills bool, eps ...*fakeEndpoint) {
+	t.Helper()
+	for _, id := range ids {
+		waitFor(t, "the end of "+id, func() bool {
+			_, ended := disc.Notice(id)
+			for _, e := range eps {
+				ended = ended || e.answered(id)
+			}
+			return ended
+		})
+	}
+	for _, id := range ids {
+		calls := 0
+		for _, e := range eps {
+			calls += e.count(id)
+		}
+		_, notice := disc.Notice(id)
+		if strings.HasSuffix(id, "-once") && calls > 1 {
+			t.Errorf("%s, which may not have its effect twice, went out %d times", id, calls)
+		}
+		if !kills && (notice || calls != 1) {
+			t.Errorf("%s: %d calls, ended by a notice: %v", id, calls, notice)
+		}
+	}
+}
+
+// Hard case: SIGKILL at any moment with most messages in the log alone, in the
+// backlog's making, in its reading at a start and while it is worked off. Each
+// has its end, and what may not run twice does not.
+func TestBacklogKilled(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	disc := oneElsewhere(t)
+	env := backlogEnv(t, disc, 64, 4)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	ids := append(putAll(t, cl, "a", 240, 7, 25000), putAll(t, cl, "b", 240, 8, 25000)...)
+	c.spilledAtLeast(t, 400)
+	c.kill()
+	c = startChild(t, env)
+	c.kill() // while it reads what is owed, or just after
+	c = startChild(t, env)
+	c.spilledAtLeast(t, 400)
+	waitFor(t, "all of them", func() bool { return c.figure(t, "app_pending") == len(ids) })
+	ids = append(ids, putAll(t, dialClient(t, env["ROUTER_LISTEN"]), "c", 60, 7, 25000)...)
+	disc.Set(func(d *discoverytest.Server) {
+		d.List.Members = append(d.List.Members, ep.member("s-7", 7), ep.member("s-8", 8))
+	})
+	disc.Say(t, discoverytest.Change(2, ep.member("s-7", 7)))
+	disc.Say(t, discoverytest.Change(3, ep.member("s-8", 8)))
+	for _, n := range []int{60, 200} { // calls by which it is killed
+		waitFor(t, "some calls", func() bool { ep.mu.Lock(); defer ep.mu.Unlock(); return len(ep.calls) >= n })
+		c.kill()
+		c = startChild(t, env)
+	}
+	endedOnce(t, disc, ids, true, ep)
+	waitFor(t, "an empty backlog", func() bool { return c.figure(t, "app_pending") == 0 && c.figure(t, "app_spilled") == 0 })
+}
+
+// Hard case: a destination comes back, is gone again while its backlog is read,
+// and comes back. Each message is delivered once.
+func TestBacklogWorkedOff(t *testing.T) {
+	for _, resident := range []int{1, 2, 30} {
+		t.Run(fmt.Sprint(resident, " in memory"), func(t *testing.T) {
+			ep := newFakeEndpoint(t, nil)
+			disc := oneElsewhere(t)
+			env := backlogEnv(t, disc, 64, resident)
+			c := startChild(t, env)
+			ids := putAll(t, dialClient(t, env["ROUTER_LISTEN"]), "m", 300, 7, 25000)
+			c.spilledAtLeast(t, 300-resident)
+			m := ep.member("s-7", 7)
+			disc.Say(t, discoverytest.Change(2, m))
+			waitFor(t, "some calls", func() bool { ep.mu.Lock(); defer ep.mu.Unlock(); return len(ep.calls) >= 40 })
+			gone := m
+			gone.Phase = discovery.Removed
+			disc.Say(t, discoverytest.Change(3, gone))
+			waitFor(t, "its going", func() bool { return c.figure(t, "app_members") == 1 })
+			disc.Say(t, discoverytest.Change(4, m))
+			endedOnce(t, disc, ids, false, ep)
+			waitFor(t, "an empty backlog", func() bool { return c.figure(t, "app_pending") == 0 && c.figure(t, "app_spilled") == 0 })
+			if n := c.figure(t, "app_loaded"); n < 300-resident {
+				t.Errorf("%d loaded", n)
+			}
+		})
+	}
+}
+
+// Hard case: deadlines that pass in the log. Each message is handed back within
+// its time and 300 ms, also where all come due at once.
+func TestBacklogDeadlines(t *testing.T) {
+	disc := oneElsewhere(t)
+	env := backlogEnv(t, disc, 64, 2)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	due := map[string]time.Time{}
+	for i := range 600 {
+		ms := 4000 // half of them at once
+		if i%2 == 0 {
+			ms = 3500 + 3*i
+		}
+		id, class := fmt.Sprint("m", i), []string{"plain", "once"}[i%2]
+		before := time.Now()
+		if s := cl.put(id, fields(class, ms, 10+i%5), nil); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+		due[id] = before.Add(time.Duration(ms) * time.Millisecond)
+	}
+	if n := c.figure(t, "app_loaded"); n > 0 {
+		t.Logf("%d are loaded already", n)
+	}
+	for len(due) > 0 {
+		now := time.Now()
+		for id, at := range due {
+			n, ended := disc.Notice(id)
+			switch {
+			case ended && n.Outcome != discovery.HandedBack:
+				t.Fatalf("%s: %+v", id, n)
+			case ended && now.Before(at.Add(-100*time.Millisecond)):
+				t.Fatalf("%s: ended %v before its time", id, at.Sub(now))
+			case ended:
+				delete(due, id)
+			case now.After(at.Add(300 * time.Millisecond)):
+				t.Fatalf("%s: no end %v after its time", id, now.Sub(at))
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if n := c.figure(t, "app_loaded"); n < 500 {
+		t.Errorf("%d of 600 were loaded", n)
+	}
+}
+
+// Hard case: an id that is handed in again while it is in the log alone, over any
+// connection, is ours already, and has one end.
+func TestBacklogSameIDAgain(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	disc := oneElsewhere(t)
+	env := backlogEnv(t, disc, 64, 2)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	ids := putAll(t, cl, "m", 60, 7, 25000)
+	c.spilledAtLeast(t, 55)
+	var wg sync.WaitGroup
+	for range 4 {
+		again := dialClient(t, env["ROUTER_LISTEN"])
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i, id := range ids {
+				if s := again.put(id, fields(id[strings.LastIndex(id, "-")+1:], 25000+i, 7), nil); s != "+OK" {
+					t.Errorf("%s again: %s", id, s)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	waitFor(t, "the figure", func() bool { return c.figure(t, "app_pending") > 0 })
+	if n := c.figure(t, "app_pending"); n != len(ids) {
+		t.Errorf("%d pending of %d", n, len(ids))
+	}
+	disc.Say(t, discoverytest.Change(2, ep.member("s-7", 7)))
+	endedOnce(t, disc, ids, false, ep)
+}
+
+// Hard case: a keyed message that may have run is spilled. It goes out again only
+// within its window; before that is over it has its end, though its deadline is far.
+func TestBacklogInDoubt(t *testing.T) {
+	for name, back := range map[string]bool{"returns in time": true, "does not return": false} {
+		t.Run(name, func(t *testing.T) {
+			ep := newFakeEndpoint(t, status(500))
+			disc := discoverytest.New(t, ep.member("s-7", 7))
+			env := backlogEnv(t, disc, 64, 1)
+			editConfig(t, env, `"dedup_window_us":20000000`, `"dedup_window_us":6000000`)
+			c := startChild(t, env)
+			cl := dialClient(t, env["ROUTER_LISTEN"])
+			put := func(id, class string, ms int) {
+				t.Helper()
+				if s := cl.put(id, fields(class, ms, 7), nil); s != "+OK" {
+					t.Fatalf("%s: %s", id, s)
+				}
+			}
+			put("keyed", "keyed", 29000)
+			waitFor(t, "its call", func() bool { return ep.count("keyed") >= 1 })
+			first := time.Now()
+			for i := range 5 { // they have less time, so the keyed one is spilled
+				put(fmt.Sprint("m", i), "plain", 15000+i)
+			}
+			c.spilledAtLeast(t, 1)
+			if back {
+				ep.then(nil)
+				waitFor(t, "its second call", func() bool { return ep.answered("keyed") })
+				if gone := time.Since(first); gone > 6*time.Second {
+					t.Errorf("sent again after %v, its window is 6 s", gone)
+				}
+				return
+			}
+			waitFor(t, "its end", func() bool { _, ok := disc.Notice("keyed"); return ok })
+			if gone := time.Since(first); gone > 7*time.Second {
+				t.Errorf("ended after %v, its window is 6 s", gone)
+			}
+			calls := ep.count("keyed")
+			ep.then(nil)
+			for i := range 5 { // a drop may have ended one
+				id := fmt.Sprint("m", i)
+				waitFor(t, "the end of "+id, func() bool { _, ended := disc.Notice(id); return ended || ep.answered(id) })
+			}
+			if n := ep.count("keyed"); n != calls {
+				t.Errorf("sent again after its end")
+			}
+		})
+	}
+}
+
+// Hard case: the disk fills while most of what it has is spilled. What does not
+// fit is refused, what was taken on is delivered.
+func TestBacklogDiskFull(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	disc := oneElsewhere(t)
+	env := backlogEnv(t, disc, 1, 2)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	var ids []string
+	refused := 0
+	for i := 0; refused < 20 && i < 5000; i++ {
+		id := fmt.Sprintf("m%d-once", i)
+		switch s := cl.put(id, fields("once", 25000, 7), []byte(strings.Repeat("b", 2000))); {
+		case s == "+OK":
+			ids = append(ids, id)
+		case strings.HasPrefix(s, "-BUSY"):
+			refused++
+		default:
+			t.Fatal(s)
+		}
+	}
+	if refused < 20 || len(ids) < 100 {
+		t.Fatalf("%d taken on, %d refused", len(ids), refused)
+	}
+	c.spilledAtLeast(t, len(ids)-2)
+	disc.Say(t, discoverytest.Change(2, ep.member("s-7", 7)))
+	endedOnce(t, disc, ids, false, ep)
+}
+
+// Hard case: an upgrade with a backlog. The next process finds it in the log, the
+// sums of both are right, and an id that the old process is handed again stays
+// one message.
+func TestBacklogUpgrade(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	disc := oneElsewhere(t)
+	env := backlogEnv(t, disc, 64, 2)
+	old := startChild(t, env)
+	kept := dialClient(t, env["ROUTER_LISTEN"])
+	ids := putAll(t, kept, "m", 200, 7, 25000)
+	old.spilledAtLeast(t, 190)
+	next := func() *child {
+		env := maps.Clone(env)
+		env["ROUTER_OPERATOR"] = loopback.Free()
+		c := spawn(t, env)
+		waitFor(t, "a yes of the new process", func() bool { return c.says(true) })
+		return c
+	}
+	c := next()
+	waitFor(t, "the figures", func() bool {
+		return old.figure(t, "app_pending") == 0 && old.figure(t, "app_spilled") == 0 && c.figure(t, "app_pending") == len(ids)
+	})
+	again := func() {
+		t.Helper()
+		for i, id := range ids {
+			if s := kept.put(id, fields(id[strings.LastIndex(id, "-")+1:], 25000+i, 7), nil); s != "+OK" {
+				t.Fatalf("%s again: %s", id, s)
+			}
+		}
+		for i := range 50 { // and new ones, which stay in memory there
+			id := fmt.Sprintf("late%d-%d-once", len(ids), i)
+			if s := kept.put(id, fields("once", 25000, 7), nil); s != "+OK" {
+				t.Fatalf("%s: %s", id, s)
+			}
+			ids = append(ids, id)
+		}
+	}
+	again()
+	waitFor(t, "the sum", func() bool { return c.figure(t, "app_pending") == len(ids) })
+	c.kill() // the old one takes all back, from the log
+	waitFor(t, "the sum again", func() bool { return old.figure(t, "app_pending") == len(ids) })
+	c = next()
+	again()
+	waitFor(t, "the sum of the third", func() bool { return c.figure(t, "app_pending") == len(ids) })
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	if err := old.cmd.Wait(); err != nil {
+		t.Errorf("exit of the old process: %v", err)
+	}
+	disc.Say(t, discoverytest.Change(2, ep.member("s-7", 7)))
+	endedOnce(t, disc, ids, false, ep)
+}
+
+// Hard case: a log written with no bound, as by the program before, is taken up
+// under one, and the other way round; SIGTERM leaves a backlog in it.
+func TestBacklogOtherBound(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	disc := oneElsewhere(t)
+	env := backlogEnv(t, disc, 64, 0)
+	c := startChild(t, env)
+	ids := putAll(t, dialClient(t, env["ROUTER_LISTEN"]), "m", 3000, 7, 29000)
+	if n := c.figure(t, "app_spilled"); n != 0 {
+		t.Errorf("%d spilled with no bound", n)
+	}
+	c.kill()
+	editConfig(t, env, `"resident":0,`, `"resident":3,`)
+	c = startChild(t, env)
+	c.spilledAtLeast(t, 2990)
+	waitFor(t, "all of them", func() bool { return c.figure(t, "app_pending") == len(ids) })
+	c.cmd.Process.Signal(syscall.SIGTERM)
+	if err := c.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	editConfig(t, env, `"resident":3,`, ``)
+	c = startChild(t, env)
+	waitFor(t, "what is owed", func() bool { return c.figure(t, "app_pending") == len(ids) })
+	disc.Say(t, discoverytest.Change(2, ep.member("s-7", 7)))
+	endedOnce(t, disc, ids, false, ep)
+}
+
+// turn carries out what has happened to a relay without a loop.
+func (r *Relay) turn() {
+	for _, h := range r.in.TakeAll(nil) {
+		r.take(h)
+	}
+	if r.ring(); len(r.events) > 0 {
+		r.step()
+	}
+	r.load()
+}
+
+// handIn takes a message on as the loop and its client do together.
+func handIn(t *testing.T, r *Relay, id string, dest int, left decide.Time) *request {
+	q := &request{class: 0, tenant: 0, rec: &wal.Record{Kind: wal.Taken, ID: id, Class: "plain", Dest: dest, Deadline: r.wall(r.now() + left), Body: make([]byte, 200)}, reply: make(chan string, 1)}
+	r.in.Put(happening{put: q})
+	return q
+}
+
+// boundRelay is a test relay with so many messages in memory at most.
+func boundRelay(t *testing.T, resident int) *Relay {
+	r := newTestRelay(t)
+	r.cfg.Policy.MaxHeld, r.cfg.Policy.MaxResident = 0, resident
+	policy, err := decide.New(r.cfg.Policy, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := wal.Open(wal.Options{Dir: t.TempDir(), Limit: 1 << 30, Log: quietLog()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	go w.Run(stop)
+	t.Cleanup(func() { close(stop); <-w.Done() })
+	r.policy, r.wal = policy, w
+	return r
+}
+
+// The memory of a relay does not grow with what it holds but for the log's index
+// and the store: some 75 bytes a message.
+func TestBacklogMemory(t *testing.T) {
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	const n, batch = 200_000, 500
+	r := boundRelay(t, 1000)
+	before := heap()
+	for from := 0; from < n; from += batch {
+		var qs []*request
+		for i := range batch {
+			qs = append(qs, handIn(t, r, fmt.Sprint("m", from+i), i%50, 3600e6))
+		}
+		for _, q := range qs {
+			waitFor(t, "an answer", func() bool {
+				r.turn()
+				select {
+				case s := <-q.reply:
+					if s != replyOK {
+						t.Fatal(s)
+					}
+					r.in.Put(happening{said: q, ok: true})
+					return true
+				default:
+					return false
+				}
+			})
+		}
+	}
+	waitFor(t, "the backlog", func() bool { r.turn(); return len(r.msgs) <= 1000 })
+	per := float64(heap()-before) / n
+	t.Logf("%.0f bytes a message held, %d of %d in memory", per, len(r.msgs), n)
+	if per > 130 || r.held != n || len(r.msgs)+r.spills.count() != n || len(r.ids) > 1000 {
+		t.Errorf("%.0f bytes a message; %d held, %d known, %d spilled", per, r.held, len(r.msgs), r.spills.count())
+	}
+	runtime.KeepAlive(r)
+}
+
+// A message stays in memory until its client has heard of it, and is forgotten by
+// all where its client leaves instead.
+func TestBacklogUnheard(t *testing.T) {
+	r := boundRelay(t, 1)
+	var qs []*request
+	for i := range 3 {
+		qs = append(qs, handIn(t, r, fmt.Sprint("m", i), 7, 3600e6))
+		r.turn()
+	}
+	for _, q := range qs {
+		if s := <-q.reply; s != replyOK {
+			t.Fatal(s)
+		}
+	}
+	if r.turn(); len(r.msgs) != 3 || r.spills.count() != 0 {
+		t.Fatalf("%d in memory, %d spilled before any client has heard", len(r.msgs), r.spills.count())
+	}
+	r.in.Put(happening{said: qs[1], ok: true})
+	r.in.Put(happening{said: qs[2]})
+	if r.turn(); len(r.msgs) != 1 || r.spills.count() != 1 || r.held != 2 || r.ids["m1"] != nil || r.ids["m2"] != nil {
+		t.Fatalf("%d in memory, %d spilled, %d held", len(r.msgs), r.spills.count(), r.held)
+	}
+	// The policy knows of that, too: once nothing is spilled it asks for nothing.
+	r.events = append(r.events, decide.Event{Kind: decide.EvWithdraw, Message: 1})
+	waitFor(t, "the one that is left", func() bool { r.turn(); return r.ids["m1"] != nil })
+	if r.turn(); len(r.spills.asked) != 0 || r.spills.count() != 0 {
+		t.Errorf("%d spilled, asked for %v", r.spills.count(), r.spills.asked)
+	}
+}
+
+// A message that cannot be read just now is tried again, and another one is read
+// in its place meanwhile. One that damage took is given up.
+func TestBacklogUnreadable(t *testing.T) {
+	r := boundRelay(t, 1)
+	r.notices = discovery.NewNotices(discoverytest.New(t).Addr(), quietLog(), func(string) {})
+	r.held = 2
+	item := backlog.Item{Entry: backlog.Entry{At: 1, Ref: 9}, Dest: 7}
+	r.back(&loaded{r.wal, []backlog.Item{item, item}, []*wal.Record{{}, {ID: "m", Class: "plain", Dest: 7, Lost: true}}})
+	if len(r.spills.failed) != 1 || r.spills.asked[7] != 1 || r.held != 1 {
+		t.Errorf("%d to be tried again, asked for %v, %d held", len(r.spills.failed), r.spills.asked, r.held)
+	}
+	if wait := r.spills.wait(r.now()); wait > time.Second || wait < 500*time.Millisecond {
+		t.Errorf("tried again in %v", wait)
+	}
+	if r.retryAll(); r.spills.store.Len() != 1 {
+		t.Errorf("%d in the store", r.spills.store.Len())
+	}
+	waitFor(t, "an end in the log", func() bool {
+		owed := make(chan bool)
+		r.wal.Do(func() { owed <- r.wal.Owes("m") })
+		return !<-owed
+	})
+}
+
+func (r *Relay) retryAll() { r.spills.retry(r.now() + 2*loadRetry) }
--- a/internal/relay/config_test.go
+++ b/internal/relay/config_test.go
@@ -26,6 +26,8 @@
 		"localities":    {`"localities":["a","b"]`, `"localities":7`, "localities"},
 		"not json":      {`{"name"`, `{name`, "config"},
 		"no settings":   {`"settings"`, `"setting"`, "settings"},
+		"resident":      {`"seed":"1f"`, `"seed":"1f","resident":-1`, "config: resident"},
+		"resident type": {`"seed":"1f"`, `"seed":"1f","resident":"all"`, "config: resident"},
 		"negative time": {`"drain_grace_us":2000000`, `"drain_grace_us":-1`, "DrainGrace"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -43,6 +45,19 @@
 	if err != nil || c.State != "/y" || c.Seed != 0x1f || c.Policy.Slots != 16 || c.Policy.Streams != 1 || c.zones["b"] != 1 || c.classes["once"] != 2 {
 		t.Errorf("got %+v, %v", c, err)
 	}
+	for _, x := range []struct {
+		memory, key string
+		want        int
+	}{{"64", "", 8192}, {"4", "", residentLeast}, {"64", `,"resident":3`, 3}, {"64", `,"resident":0`, 0}} {
+		text := strings.Replace(strings.Replace(good, `"memory_mb":64`, `"memory_mb":`+x.memory, 1), `"seed":"1f"`, `"seed":"1f"`+x.key, 1)
+		c, err := parseConfig([]byte(text), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.Policy.MaxResident != x.want {
+			t.Errorf("%s MB%s: %d in memory, want %d", x.memory, x.key, c.Policy.MaxResident, x.want)
+		}
+	}
 	clients, endpoints := c.budget()
 	if clients+endpoints+ownSockets > 256 || endpoints < c.Policy.Slots {
 		t.Errorf("budget %d and %d of 256", clients, endpoints)
