--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -49,14 +49,18 @@
 // configure writes what the relay is told, and gives the list in it.
 func (r *relay) configure() (model.List, error) {
 	s, known := r.run.scen, r.agent.Known()
-	text, err := json.MarshalIndent(map[string]any{
+	fields := map[string]any{
 		"name": r.name, "listen": r.listen, "discovery": r.agent.Addr(), "state": r.state(),
 		"seed":   fmt.Sprintf("%016x", seeded(r.run.seed, "relay "+r.name).Uint64()),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets, "disk_mb": s.Fleet.DiskMB},
 		"known":  known, "operator": r.operator, "promise": s.Fleet.Promise,
 		"settings": model.Settings(model.Fleet{Relays: s.Fleet.Relays, Slots: s.Fleet.Slots, Held: s.Fleet.Held, Zones: s.Fleet.Zones,
 			Zone: r.num % len(s.Fleet.Zones), Rank: r.num, Batch: s.Fleet.Batch}, r.run.world.Rules),
-	}, "", " ")
+	}
+	if s.Fleet.Resident > 0 {
+		fields["resident"] = s.Fleet.Resident
+	}
+	text, err := json.MarshalIndent(fields, "", " ")
 	if err != nil {
 		return known, fmt.Errorf("configuration of %s: %w", r.name, err)
 	}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -42,10 +42,11 @@
 	MemoryMB int      `toml:"memory_mb"`
 	Sockets  int      `toml:"sockets"`
 	DiskMB   int      `toml:"disk_mb"`
-	Slots    int      `toml:"slots"`   // calls out at once, of one relay
-	Held     int      `toml:"held"`    // messages that one relay may hold
-	Batch    int      `toml:"batch"`   // messages in one call to a telco
-	Promise  string   `toml:"promise"` // what a message that was taken on outlives: process, or power
+	Slots    int      `toml:"slots"`    // calls out at once, of one relay
+	Held     int      `toml:"held"`     // messages that one relay may hold
+	Resident int      `toml:"resident"` // of these, in its memory; 0 for what it takes by itself
+	Batch    int      `toml:"batch"`    // messages in one call to a telco
+	Promise  string   `toml:"promise"`  // what a message that was taken on outlives: process, or power
 }
 
 // Partners are the destinations and their endpoints.
@@ -314,7 +315,7 @@
 		{"seconds", s.Seconds, 1, 7200}, {"fleet.relays", float64(f.Relays), 1, 64},
 		{"fleet.memory_mb", float64(f.MemoryMB), 32, 4096}, {"fleet.sockets", float64(f.Sockets), 256, 65536},
 		{"fleet.disk_mb", float64(f.DiskMB), 1, 4096}, {"fleet.slots", float64(f.Slots), 2, 1000},
-		{"fleet.held", float64(f.Held), 12, 1e6}, {"fleet.batch", float64(f.Batch), 1, 64},
+		{"fleet.held", float64(f.Held), 12, 1e6}, {"fleet.resident", float64(f.Resident), 0, 1e6}, {"fleet.batch", float64(f.Batch), 1, 64},
 		{"partners.destinations", float64(p.Destinations), 1, 200}, {"partners.endpoints", float64(p.Endpoints), float64(p.Destinations), 400},
 		{"partners.telcos", p.Telcos, 0, 1}, {"partners.room", p.Room, 0.1, 100}, {"partners.delay_ms", p.DelayMS, 0, 2000},
 		{"partners.cross_ms", p.CrossMS, 0, 2000}, {"partners.jitter_ms", p.JitterMS, 0, 2000}, {"partners.conns", p.ConnsFactor, 1, 1000},
--- a/internal/relay/backlog.go
+++ b/internal/relay/backlog.go
@@ -23,6 +23,7 @@
 	asked   map[int]int    // messages that the policy wants back, by destination
 	reading []backlog.Item // that are being read from the log
 	failed  []backlog.Item // that could not be read; At is when they are tried again
+	told    bool           // this process has logged that it spills
 }
 
 // loaded is what the log has read of spilled messages.
@@ -85,6 +86,10 @@
 		r.in.Put(happening{forgone: &decide.Event{Kind: decide.EvWithdraw, Message: m.num, Spilled: true, Dest: m.rec.Dest}})
 		return
 	}
+	if !r.spills.told {
+		r.spills.told = true
+		r.log.Info("spilling: more is held than memory is to have", "held", r.held, "in_memory", len(r.msgs))
+	}
 	m.spill.Ref = uint32(m.rec.Ref)
 	r.spills.store.Add(m.rec.Dest, *m.spill)
 	delete(r.ids, m.rec.ID)
