--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -133,6 +133,7 @@
 	class  int
 	tenant int
 	left   time.Duration
+	owed   bool // it is in the log already
 	reply  chan string
 }
 
