Count a window for repeats as over where the clock was set back while no process ran

Where the machine's clock is behind the log's last record at a start, time goes on from that record, and the time in which no process ran is lost: an attempt of before the kill looked 672 µs old in the new test, however long ago it was, and would be repeated in a window that may be over. Its window now counts as over; the message is given up. Deadlines stay as they were. Where the process before lives on (a hand-over) nothing is lost and nothing changes.

TestClockSetBackEndsTheWindow fails without it.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -114,6 +114,7 @@
 	in        *mailbox.Mailbox[happening]
 	wal       *wal.Log
 	resuming  bool  // messages that were owed at the start are still being read
+	setBack   bool  // the machine's clock was, since the log was written last: how long ago that was is not known
 	skew      int64 // µs by which the machine's clock was set back since the log was written last
 	failed    error // the log can keep nothing more: this process ends
 	notices   *discovery.Notices
@@ -311,7 +312,9 @@
 			e.Tenant = t
 		}
 		if rec.Doubt != 0 {
-			e.DoubtAt = max(r.fromWall(rec.Doubt), 1)
+			if e.DoubtAt = max(r.fromWall(rec.Doubt), 1); r.setBack {
+				e.DoubtAt = 1 // nobody knows how long ago: its window counts as over
+			}
 		}
 		if rec.Out != 0 {
 			m.far, r.far[rec.ID] = true, m
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -646,3 +646,35 @@
 	r.admit(&request{class: 0, tenant: 0, rec: &wal.Record{ID: "new", Class: "plain", Dest: 7, Deadline: time.Now().Add(20 * time.Second).UnixMicro()}, reply: make(chan string, 1)})
 	near("new", r.events[len(r.events)-1].Left)
 }
+
+// The same with an attempt that may have run: how long no process ran is not
+// known then, so its window for repeats counts as over.
+func TestClockSetBackEndsTheWindow(t *testing.T) {
+	for _, by := range []time.Duration{0, time.Hour} {
+		r := newTestRelay(t)
+		r.cfg.State = t.TempDir()
+		ahead := func() int64 { return time.Now().Add(by).UnixMicro() }
+		w, err := wal.Open(wal.Options{Dir: r.cfg.State, Limit: 3 << 20, Now: ahead})
+		if err != nil {
+			t.Fatal(err)
+		}
+		stop, booked := make(chan struct{}), make(chan error)
+		go w.Run(stop)
+		w.Submit(&wal.Record{Kind: wal.Taken, ID: "m", Class: "keyed", Key: "k", Dest: 7, Deadline: ahead() + 20e6}, nil)
+		w.Submit(&wal.Record{Kind: wal.Attempt, ID: "m", At: ahead(), To: "s-1", By: w.By}, func(err error) { booked <- err })
+		if err := <-booked; err != nil {
+			t.Fatal(err)
+		}
+		close(stop)
+		<-w.Done()
+		if _, err := r.openLog(); err != nil {
+			t.Fatal(err)
+		}
+		defer r.closeLog()
+		e := &r.events[len(r.events)-1]
+		over := r.now()-e.DoubtAt > r.cfg.Policy.Classes[e.Class].DedupWindow
+		if e.DoubtAt == 0 || over != (by > 0) {
+			t.Errorf("set back by %v: may have run %d µs ago, in a window of %d", by, r.now()-e.DoubtAt, r.cfg.Policy.Classes[e.Class].DedupWindow)
+		}
+	}
+}
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -103,7 +103,9 @@
 	}
 	// A clock that was set back would put every deadline off, by hours maybe: time
 	// goes on from where the log left it.
-	if back := w.Last - r.wall(r.now()); back > 0 {
+	back := w.Last - r.wall(r.now())
+	r.setBack = back > 0 && w.Side == nil // where the process before lives on no time has passed unseen
+	if back > 0 {
 		r.skew += back
 		r.log.Warn("the clock was set back since the log was written last", "by", time.Duration(back)*time.Microsecond)
 	}
