Measure how long clients wait for answers while a restarted relay reads its log

A relay answers PING, and is used, before it has read all that it owes; readyz says yes after. TestReadyInTime hands messages in all the while.

--- a/internal/relay/ready_test.go
+++ b/internal/relay/ready_test.go
@@ -111,18 +111,26 @@
 			env["GOMAXPROCS"] = "1"
 			began := time.Now()
 			c := spawnTo(t, env, io.Discard)
-			var pong, ready time.Duration
+			var pong, ready, longest time.Duration
+			puts := 0
 			waitFor(t, "readiness", func() bool {
 				if pong == 0 && c.pong() {
 					pong = time.Since(began)
 				}
+				if pong > 0 { // it is used from here on
+					at := time.Now()
+					dialClient(t, env["ROUTER_LISTEN"]).put(fmt.Sprintf("new-%d", puts), fields("plain", 20000, puts), nil)
+					longest = max(longest, time.Since(at))
+					puts++
+				}
 				if ready == 0 && pong > 0 && c.says(true) {
 					ready = time.Since(began)
 				}
 				return ready > 0
 			})
 			unread := c.figure(t, "app_log_unread")
-			t.Logf("%d members, %d owed, discovery %s: PONG after %v, readyz after %v", members, owed, how, pong, ready)
+			t.Logf("%d members, %d owed, discovery %s: PONG after %v, readyz after %v; of %d messages handed in meanwhile the slowest was answered after %v",
+				members, owed, how, pong, ready, puts, longest)
 			if pong > readyIn || ready > readyIn {
 				t.Errorf("PONG after %v, readyz after %v; at most %v", pong, ready, readyIn)
 			}
