--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -119,6 +119,7 @@
 	wal       *wal.Log
 	spills    spills
 	resuming  bool  // messages that were owed at the start are still being read
+	setBack   bool  // the machine's clock was, since the log was written last: how long ago that was is not known
 	skew      int64 // µs by which the machine's clock was set back since the log was written last
 	failed    error // the log can keep nothing more: this process ends
 	notices   *discovery.Notices
@@ -312,6 +313,9 @@
 		}
 		e := r.owedEvent(m)
 		e.Kept, e.Stays = true, stays
+		if r.setBack && rec.Doubt != 0 {
+			e.DoubtAt = 1 // nobody knows how long ago: its window counts as over
+		}
 		if rec.Out != 0 {
 			m.far, r.far[rec.ID] = true, m
 			e.Out, e.OutAt = r.number(rec.OutTo), r.fromWall(rec.Out)
