Tell a reference whose place another message has taken since

A second notice of an id could end a message that came under the same id later, and its place in the index go to another: its reference would then have read that one's record. 16 bits of the record's number in the 16 bytes of an entry tell. A message that comes back because it is due no longer searches the queue for one to spill: thousands may be due at once.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -223,7 +223,9 @@
 			p.spill(m)
 		}
 	}
-	p.trim(m.dest)
+	if !e.Spilled || p.loadBy(m) > p.now { // what is due makes no other have to leave: many may be at once
+		p.trim(m.dest)
+	}
 }
 
 // value is what a message is worth if it is delivered then.
--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -9,7 +9,8 @@
 // Entry is one message.
 type Entry struct {
 	At    int64  // the moment by which it has to be back
-	Ref   uint32 // where the log has it
+	Place uint32 // where the log has it, and what tells that it is still this one's
+	Check uint16
 	Flags Flags
 }
 
--- a/internal/backlog/backlog_test.go
+++ b/internal/backlog/backlog_test.go
@@ -63,7 +63,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"add": func(t *rapid.T) {
 				ref++
-				x := Item{Entry{At: rapid.Int64Range(0, 30).Draw(t, "at"), Ref: ref, Flags: Flags(rapid.IntRange(0, 7).Draw(t, "flags"))},
+				x := Item{Entry{At: rapid.Int64Range(0, 30).Draw(t, "at"), Place: ref, Flags: Flags(rapid.IntRange(0, 7).Draw(t, "flags"))},
 					rapid.IntRange(0, 4).Draw(t, "dest")}
 				s.Add(x.Dest, x.Entry)
 				m = append(m, x)
@@ -134,7 +134,7 @@
 	var s Store
 	r := rand.New(rand.NewPCG(1, 2))
 	for i := range n {
-		s.Add(i%600, Entry{At: r.Int64N(1e12), Ref: uint32(i)})
+		s.Add(i%600, Entry{At: r.Int64N(1e12), Place: uint32(i)})
 	}
 	if per := float64(heap()-before) / n; per > 26 {
 		t.Errorf("%.1f bytes a message", per)
@@ -158,7 +158,7 @@
 	var s Store
 	r := rand.New(rand.NewPCG(1, 2))
 	for i := range 300_000 {
-		s.Add(7, Entry{At: r.Int64N(1e12), Ref: uint32(i)})
+		s.Add(7, Entry{At: r.Int64N(1e12), Place: uint32(i)})
 	}
 	for b.Loop() {
 		s.Add(7, s.Take(7, 1)[0].Entry)
--- a/internal/relay/backlog.go
+++ b/internal/relay/backlog.go
@@ -90,7 +90,7 @@
 		r.spills.told = true
 		r.log.Info("spilling: more is held than memory is to have", "held", r.held, "in_memory", len(r.msgs))
 	}
-	m.spill.Ref = uint32(m.rec.Ref)
+	m.spill.Place, m.spill.Check = uint32(m.rec.Ref), uint16(m.rec.Ref>>32)
 	r.spills.store.Add(m.rec.Dest, *m.spill)
 	delete(r.ids, m.rec.ID)
 	delete(r.msgs, m.num)
@@ -130,7 +130,7 @@
 	s.reading = items
 	refs := make([]wal.Ref, len(items))
 	for i := range items {
-		refs[i] = wal.Ref(items[i].Ref)
+		refs[i] = wal.Ref(items[i].Check)<<32 | wal.Ref(items[i].Place)
 	}
 	w := r.wal
 	w.Do(func() { r.in.Put(happening{loaded: &loaded{w, items, w.Read(refs)}}) })
--- a/internal/relay/backlog_test.go
+++ b/internal/relay/backlog_test.go
@@ -506,7 +506,7 @@
 	r := boundRelay(t, 1)
 	r.notices = discovery.NewNotices(discoverytest.New(t).Addr(), quietLog(), func(string) {})
 	r.held = 2
-	item := backlog.Item{Entry: backlog.Entry{At: 1, Ref: 9}, Dest: 7}
+	item := backlog.Item{Entry: backlog.Entry{At: 1, Place: 9}, Dest: 7}
 	r.back(&loaded{r.wal, []backlog.Item{item, item}, []*wal.Record{{}, {ID: "m", Class: "plain", Dest: 7, Lost: true}}})
 	if len(r.spills.failed) != 1 || r.spills.asked[7] != 1 || r.held != 1 {
 		t.Errorf("%d to be tried again, asked for %v, %d held", len(r.spills.failed), r.spills.asked, r.held)
--- a/internal/wal/core.go
+++ b/internal/wal/core.go
@@ -525,7 +525,7 @@
 		c.book(k, nil, p.seq, p.r, c.cur, c.at+int64(p.off), int64(p.size), false)
 		if p.r.Kind == Taken { // one of an id that is owed already names nothing
 			if i, ok := c.idx.find(k); ok && c.idx.at(i).seq == p.seq {
-				p.r.Ref = Ref(i + 1)
+				p.r.Ref = c.idx.ref(i)
 			}
 		}
 	}
--- a/internal/wal/index.go
+++ b/internal/wal/index.go
@@ -70,6 +70,18 @@
 
 func (x *index) at(i uint32) *entry { return &x.chunks[i/chunkSize][i%chunkSize] }
 
+// ref names the entry at a place.
+func (x *index) ref(i uint32) Ref { return Ref(uint16(x.at(i).seq))<<32 | Ref(i+1) }
+
+// named gives the place of the entry that a reference names; ok is false where
+// there is none any more.
+func (x *index) named(r Ref) (i uint32, ok bool) {
+	if i = uint32(r) - 1; uint32(r) == 0 || i >= x.used || x.at(i).flags&entryLive == 0 {
+		return 0, false
+	}
+	return i, x.ref(i) == r
+}
+
 // find gives the entry's place; ok is false where there is none.
 func (x *index) find(k key) (i uint32, ok bool) {
 	mask := uint64(len(x.slots) - 1)
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -88,7 +88,7 @@
 		l.c.log.Error("log: message is lost", "id", r.ID, "err", err)
 		r.Lost = true
 	}
-	r.Ref = Ref(i + 1)
+	r.Ref = l.c.idx.ref(i)
 	l.c.idx.at(i).flags |= entryRead
 	return r
 }
@@ -122,7 +122,8 @@
 	l.load.scan.most = loadWindow
 	for _, n := range l.byPlace(refs) {
 		ref := refs[n]
-		r, err := l.c.message(uint32(ref)-1, &l.load)
+		i, _ := l.c.idx.named(ref)
+		r, err := l.c.message(i, &l.load)
 		if err != nil {
 			l.c.log.Error("log: message cannot be read", "id", r.ID, "err", err)
 			r.Lost = r.ID != ""
@@ -142,12 +143,12 @@
 func (l *Log) byPlace(refs []Ref) []int {
 	order := make([]int, 0, len(refs))
 	for n, ref := range refs {
-		if ref != 0 && l.c.after == nil && uint32(ref) <= l.c.idx.used && l.c.idx.at(uint32(ref)-1).flags&entryLive != 0 {
+		if _, ok := l.c.idx.named(ref); ok && l.c.after == nil {
 			order = append(order, n)
 		}
 	}
 	slices.SortFunc(order, func(a, b int) int {
-		x, y := l.c.idx.at(uint32(refs[a])-1), l.c.idx.at(uint32(refs[b])-1)
+		x, y := l.c.idx.at(uint32(refs[a])-1), l.c.idx.at(uint32(refs[b])-1) // named ones
 		return cmp.Or(cmp.Compare(x.src, y.src), cmp.Compare(x.off, y.off))
 	})
 	return order
--- a/internal/wal/read_test.go
+++ b/internal/wal/read_test.go
@@ -58,6 +58,10 @@
 	if r := l.Read([]Ref{recs[9].Ref, 0, 1 << 30}); !slices.Equal(r, []*Record{nil, nil, nil}) {
 		t.Errorf("references to nothing give %+v", r)
 	}
+	mustAppend(t, l, taken("new", "")) // in the place of m9
+	if r := l.Read([]Ref{recs[9].Ref}); r[0] != nil {
+		t.Errorf("a reference of a message that is over gives %+v", r[0])
+	}
 }
 
 // Owes tells what a client that hands a message in again is to hear: ours, or not.
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -94,7 +94,10 @@
 
 // Ref names a message that is owed, for as long as it is owed and the log is open;
 // 0 names none.
-type Ref uint32
+//
+// It is the place in the index, from 1, with 16 bits of the record's number above
+// it, so that a place taken by another message since is not read as this one's.
+type Ref uint64
 
 // fold brings a taken record up to date with a later one.
 func (t *Record) fold(r *Record) {
