--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1109,8 +1109,8 @@
 			return
 		}
 		var last *message
-		for _, m := range d.queue {
-			if (last == nil || m.deadline >= last.deadline) && p.mayLeave(m) {
+		for _, m := range slices.Backward(d.queue) { // what has just joined is often the one
+			if (last == nil || m.deadline > last.deadline) && p.mayLeave(m) {
 				last = m
 			}
 		}
@@ -1132,8 +1132,11 @@
 	if m.stays || p.loadBy(m) <= p.now || p.spent(m) {
 		return false
 	}
+	if !m.class.InOrder || m.key == 0 {
+		return true
+	}
 	l := p.lines[m.key]
-	return !m.class.InOrder || l == nil || l.spilled == 0 && l.turns[len(l.turns)-1] == m
+	return l.spilled == 0 && l.turns[len(l.turns)-1] == m
 }
 
 // loadBy is the moment by which a spilled message has to be back.
--- a/decide/guards_test.go
+++ b/decide/guards_test.go
@@ -33,7 +33,7 @@
 		{"budget", "return ep.budget.level(p.now, rate, max(depth, ep.need)) >= ep.need", "return ep.budget.level(p.now, rate, max(depth, ep.need)) >= -99", "TestFailBackBudget"},
 		{"outage", "ep.sick || ep.score < scoreSick", "true", "TestPartialSuccessKeepsTheBudget"},
 		{"order behind spilled", "l.ahead() || ", "", "TestRulesWithBacklog"},
-		{"order of spilled", "l.spilled == 0 && l.turns[len(l.turns)-1] == m", "true", "TestRulesWithBacklog"},
+		{"order of spilled", "l.spilled == 0 && l.turns[len(l.turns)-1] == m", "l != nil", "TestRulesWithBacklog"},
 		{"window of spilled", "min(by, m.deadline-p.margin())", "max(by, m.deadline-p.margin())", "TestSpilledState"},
 		{"one in memory", "max(n, p.least()-have)", "n", "TestRulesWithBacklog"},
 		{"calling off", "p.review(c)\n\t}\n\tl.bound", "}\n\tl.bound", "TestReclaim"},
