--- /dev/null
+++ b/decide/backlog_bench_test.go
@@ -0,0 +1,93 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+)
+
+// host answers for a backlog without a log: what is asked for comes back at once, as new messages.
+type host struct {
+	p     *Policy
+	now   Time
+	next  uint32
+	sends []Action
+	due   []Event
+}
+
+func newHost(b *testing.B, resident, held int) *host {
+	set := one()
+	set.MaxHeld, set.MaxResident, set.Slots, set.Cancels = 0, resident, 100, false
+	set.Classes[0].Deadline = 36000 * second
+	p, err := New(set, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	h := &host{p: p, now: 1000 * second}
+	for range held {
+		h.step(h.message())
+	}
+	return h
+}
+
+func (h *host) message() Event {
+	h.next++
+	return Event{Kind: EvMessage, Message: h.next, Left: 36000*second - Time(h.next)}
+}
+
+func (h *host) step(events ...Event) {
+	h.now += 100
+	for _, a := range h.p.Step(h.now, events, nil) {
+		switch a.Kind {
+		case ActSend:
+			h.sends = append(h.sends, a)
+		case ActLoad:
+			for range a.Count {
+				e := h.message()
+				e.Spilled = true
+				h.due = append(h.due, e)
+			}
+		}
+	}
+}
+
+var benchBounds = map[string]int{"all": 0, "bounded": 5000}
+
+// BenchmarkAdmitDown hands messages in for a destination that is down and has so many already.
+func BenchmarkAdmitDown(b *testing.B) {
+	for _, held := range []int{100, 1000, 10_000, 50_000} {
+		for _, name := range []string{"all", "bounded"} {
+			b.Run(fmt.Sprintf("%s/held=%d", name, held), func(b *testing.B) {
+				h := newHost(b, benchBounds[name], held)
+				b.ResetTimer()
+				for range b.N {
+					h.step(h.message())
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkWorkOff delivers what a destination has when it is back, with the loads that go with it.
+func BenchmarkWorkOff(b *testing.B) {
+	for _, held := range []int{1000, 10_000, 50_000} {
+		for _, name := range []string{"all", "bounded"} {
+			b.Run(fmt.Sprintf("%s/held=%d", name, held), func(b *testing.B) {
+				h := newHost(b, benchBounds[name], held)
+				h.step(Event{Kind: EvList, List: ListFull, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 1e6}}})
+				b.ResetTimer()
+				for n := 0; n < b.N; {
+					var events []Event
+					if len(h.sends) > 0 {
+						a := h.sends[0]
+						h.sends = h.sends[1:]
+						events = append(events, Event{Kind: EvOutcome, Message: a.Message, Endpoint: 1, Outcome: Delivered, Settled: true, Took: second / 10})
+						events = append(events, h.message()) // so that as many are held all the time
+						n++
+					}
+					events, h.due = append(events, h.due...), nil
+					h.step(events...)
+				}
+			})
+		}
+	}
+}
