--- a/decide/decide.go
+++ b/decide/decide.go
@@ -228,7 +228,9 @@
 			p.spill(m)
 		}
 	}
-	p.trim(m.dest)
+	if !e.Spilled || p.loadBy(m) > p.now { // what is due makes no other have to leave: many may be at once
+		p.trim(m.dest)
+	}
 }
 
 // value is what a message is worth if it is delivered then.
@@ -1129,8 +1131,8 @@
 			return
 		}
 		var last *message
-		for _, m := range d.queue {
-			if (last == nil || m.deadline >= last.deadline) && p.mayLeave(m) {
+		for _, m := range slices.Backward(d.queue) { // what has just joined is often the one
+			if (last == nil || m.deadline > last.deadline) && p.mayLeave(m) {
 				last = m
 			}
 		}
@@ -1152,8 +1154,11 @@
 	if m.stays || p.loadBy(m) <= p.now || p.spent(m) {
 		return false
 	}
+	if !m.class.InOrder || m.key == 0 {
+		return true
+	}
 	l := p.lines[m.key]
-	return !m.class.InOrder || l == nil || l.spilled == 0 && l.turns[len(l.turns)-1] == m
+	return l.spilled == 0 && l.turns[len(l.turns)-1] == m
 }
 
 // loadBy is the moment by which a spilled message has to be back.
