Keep the gauges of the list up by its changes, not by walks

Members are now counted as they come and go, endpoints are kept by destination, and show looks only at those that may be avoided: the policy begins to avoid one with news of the list or of a call to its destination and by time alone only ceases to, so each such event puts it among the doubtful ones, and show drops it from them once it is not avoided.

TestGaugesOfAHealthyList: of 3,000 healthy members none is looked at again.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -126,6 +126,7 @@
 	waiting   map[*request]*message // whose clients have no answer yet
 	endpoints map[string]*endpoint
 	byNum     map[decide.Endpoint]*endpoint
+	members   members
 	events    []decide.Event
 	actions   []decide.Action
 	batches   []*batch      // of the step that is being carried out
@@ -663,16 +664,15 @@
 	if kind != decide.ListChange {
 		for id, ep := range r.endpoints {
 			if !seen[id] {
-				ep.listed = false
+				r.setListed(ep, false)
 				r.leave(ep)
 			}
 		}
 	}
 	r.events = append(r.events, e)
-	for id, ep := range r.endpoints { // the list's comings and goings must not fill the memory
+	for _, ep := range r.endpoints { // the list's comings and goings must not fill the memory
 		if ep.gone && len(ep.calls) == 0 && r.now()-ep.goneAt > forgetGone {
-			delete(r.endpoints, id)
-			delete(r.byNum, ep.num)
+			r.forget(ep)
 		}
 	}
 }
@@ -688,9 +688,11 @@
 		// It moved under its old name: nothing more goes to the old place.
 		r.leave(ep)
 		ep.conns = newConns(&r.cfg.Policy, r.idleConns, keepIdle(&r.cfg.Policy))
-		ep.hostPort, ep.cell = x.HostPort, x.Cell
+		ep.hostPort = x.HostPort
+		r.setCell(ep, x.Cell)
 	}
-	ep.listed = x.Phase != discovery.Removed
+	r.setListed(ep, x.Phase != discovery.Removed)
+	r.doubt(ep)
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.cfg.zones, x.Locality), Kind: place(r.cfg.kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
 	ep.zone, ep.batch = entry.Zone, 1
@@ -730,11 +732,11 @@
 // that it began before may still wait for its connection or its clients.
 func (r *Relay) toldWait(ep *endpoint, wait decide.Time) {
 	kinds, kind := r.cfg.Policy.Kinds, ep.entry.Kind
-	apart := kind >= 0 && kind < len(kinds) && kinds[kind].Apart
-	for _, x := range r.endpoints {
-		if x != ep && (apart || x.cell != ep.cell) {
-			continue
-		}
+	sharing := r.members.byCell[ep.cell]
+	if kind >= 0 && kind < len(kinds) && kinds[kind].Apart {
+		sharing = []*endpoint{ep}
+	}
+	for _, x := range sharing {
 		x.waitOver = max(x.waitOver, r.now()+wait)
 		for c := range x.calls {
 			c.holdBack(errToldWait)
@@ -745,18 +747,8 @@
 // show publishes the gauges.
 func (r *Relay) show() {
 	r.shownAt = r.now()
-	members, avoided := 0, 0
-	for _, ep := range r.endpoints {
-		if !ep.listed {
-			continue
-		}
-		members++
-		if ep.gone || r.policy.Avoided(ep.num, r.shownAt) {
-			avoided++
-		}
-	}
-	r.fig.members.Store(int64(members))
-	r.fig.unavailable.Store(int64(avoided))
+	r.fig.members.Store(int64(r.members.listed))
+	r.fig.unavailable.Store(int64(r.avoided(r.shownAt)))
 	r.fig.pending.Store(int64(r.held - len(r.far))) // those are the other process's until their calls are over
 }
 
@@ -1053,6 +1045,9 @@
 	if ep != nil {
 		e.Endpoint = ep.num
 	}
+	if o.what != decide.Delivered || o.wait > 0 {
+		r.doubtCell(m.rec.Dest)
+	}
 	r.events = append(r.events, e)
 	if o.what != decide.Delivered {
 		r.log.Info("attempt", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
--- /dev/null
+++ b/internal/relay/members.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"slices"
+
+	"troutusher/decide"
+)
+
+// members is what the loop keeps of its endpoints beside the map of all, so that
+// neither the gauges nor a told wait walks the whole list.
+type members struct {
+	listed int                 // that discovery names
+	byCell map[int][]*endpoint // all that are known, by destination
+	// doubtful holds each endpoint that may be avoided now: all others are not. The
+	// policy begins to avoid one with news of the list or of a call there, or to a
+	// sibling; by time alone it only ceases to.
+	doubtful map[*endpoint]bool
+}
+
+// setListed books whether discovery names an endpoint.
+func (r *Relay) setListed(ep *endpoint, listed bool) {
+	if ep.listed == listed {
+		return
+	}
+	if ep.listed = listed; listed {
+		r.members.listed++
+	} else {
+		r.members.listed--
+	}
+}
+
+// setCell books the destination that an endpoint serves.
+func (r *Relay) setCell(ep *endpoint, cell int) {
+	r.removeFromCell(ep)
+	if r.members.byCell == nil {
+		r.members.byCell = map[int][]*endpoint{}
+	}
+	ep.cell = cell
+	r.members.byCell[cell] = append(r.members.byCell[cell], ep)
+}
+
+func (r *Relay) removeFromCell(ep *endpoint) {
+	rest := slices.DeleteFunc(r.members.byCell[ep.cell], func(x *endpoint) bool { return x == ep })
+	if len(rest) == 0 {
+		delete(r.members.byCell, ep.cell)
+	} else {
+		r.members.byCell[ep.cell] = rest
+	}
+}
+
+// doubt has an endpoint looked at when the gauges are published next.
+func (r *Relay) doubt(ep *endpoint) {
+	if r.members.doubtful == nil {
+		r.members.doubtful = map[*endpoint]bool{}
+	}
+	r.members.doubtful[ep] = true
+}
+
+// doubtCell does so for all that serve a destination.
+func (r *Relay) doubtCell(cell int) {
+	for _, ep := range r.members.byCell[cell] {
+		r.doubt(ep)
+	}
+}
+
+// doubtAll does so for all, where what the policy knows comes from another.
+func (r *Relay) doubtAll() {
+	for _, ep := range r.endpoints {
+		r.doubt(ep)
+	}
+}
+
+// forget drops an endpoint that left long ago.
+func (r *Relay) forget(ep *endpoint) {
+	r.setListed(ep, false)
+	r.removeFromCell(ep)
+	delete(r.members.doubtful, ep)
+	delete(r.endpoints, ep.id)
+	delete(r.byNum, ep.num)
+}
+
+// avoided counts the endpoints on the list that get nothing now but trial calls
+// at most, and drops from the doubtful ones those that do.
+func (r *Relay) avoided(now decide.Time) int {
+	n := 0
+	for ep := range r.members.doubtful {
+		switch {
+		case !ep.listed:
+			delete(r.members.doubtful, ep)
+		case ep.gone || r.policy.Avoided(ep.num, now):
+			n++
+		default:
+			delete(r.members.doubtful, ep)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/relay/members_test.go
@@ -0,0 +1,166 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"troutusher/decide"
+	"troutusher/internal/discovery"
+	"troutusher/internal/wal"
+)
+
+// walked counts the gauges of the list the plain way.
+func (r *Relay) walked(now decide.Time) (members, avoided int64) {
+	for _, ep := range r.endpoints {
+		if !ep.listed {
+			continue
+		}
+		members++
+		if ep.gone || r.policy.Avoided(ep.num, now) {
+			avoided++
+		}
+	}
+	return members, avoided
+}
+
+// memberDay changes a list, has calls come to all sorts of ends, and compares the gauges after each step.
+type memberDay struct {
+	t    *testing.T
+	r    *Relay
+	rng  *rand.Rand
+	list map[string]*discovery.Member
+	rev  int64
+	out  []*message // with a call that is to end
+	most int64      // avoided at once
+}
+
+func (d *memberDay) draw() *discovery.Member {
+	id := fmt.Sprintf("s-%d", d.rng.IntN(30))
+	m := &discovery.Member{ID: id, HostPort: fmt.Sprintf("127.0.0.1:%d", 1+d.rng.IntN(3)), Flavor: "k", Cell: d.rng.IntN(8),
+		Phase: []string{discovery.Up, discovery.Up, discovery.Up, discovery.Draining, discovery.Removed}[d.rng.IntN(5)], Size: 1000}
+	d.list[id] = m
+	return m
+}
+
+// news gives a change of one member, or now and then the whole list.
+func (d *memberDay) news() {
+	d.rev++
+	l := &discovery.List{Revision: d.rev, Members: []discovery.Member{*d.draw()}}
+	if d.rng.IntN(4) == 0 {
+		l.Complete, l.Members = true, nil
+		for _, m := range d.list {
+			if m.Phase != discovery.Removed && d.rng.IntN(6) > 0 {
+				l.Members = append(l.Members, *m)
+			}
+		}
+	}
+	d.r.take(happening{news: l})
+}
+
+// end has the oldest call end in some way.
+func (d *memberDay) end() {
+	if len(d.out) == 0 {
+		return
+	}
+	m := d.out[0]
+	d.out = d.out[1:]
+	if m.call == nil {
+		return
+	}
+	o := outcome{what: []decide.Outcome{decide.Delivered, decide.Errored, decide.Errored, decide.TimedOut, decide.NoConnect,
+		decide.Full, decide.Reset}[d.rng.IntN(7)], took: 1000}
+	o.settled = o.what == decide.Delivered
+	if d.rng.IntN(4) == 0 {
+		o.status, o.wait = 200, 1000*decide.Time(d.rng.IntN(20))
+	}
+	d.r.finished(m.call, []outcome{o})
+}
+
+// Guards the gauges of the list, which follow its changes and those of the policy: after any of them, and as time passes,
+// they say what a walk over all endpoints would.
+func TestGaugesFollowChanges(t *testing.T) {
+	for seed := range uint64(6) {
+		r := newTestRelay(t)
+		d := &memberDay{t: t, r: r, rng: rand.New(rand.NewPCG(seed, 3)), list: map[string]*discovery.Member{}}
+		for step := range 600 {
+			switch d.rng.IntN(5) {
+			case 0:
+				d.news()
+			case 1, 2:
+				m := r.newMessage(&wal.Record{ID: fmt.Sprintf("%d-%d", seed, step), Class: "plain", Dest: d.rng.IntN(8),
+					Deadline: r.wall(r.now() + 20e6)})
+				m.heard = true
+				r.events = append(r.events, decide.Event{Kind: decide.EvMessage, Message: m.num, Dest: m.rec.Dest, Tenant: -1, Left: 20e6})
+			case 3:
+				d.end()
+			case 4:
+				time.Sleep(time.Duration(d.rng.IntN(2000)) * time.Microsecond) // waits and rests pass
+			}
+			d.step()
+			r.show()
+			members, avoided := r.walked(r.shownAt)
+			if got, was := r.fig.members.Load(), r.fig.unavailable.Load(); got != members || was != avoided {
+				t.Fatalf("seed %d, step %d: %d members, %d avoided; a walk says %d and %d", seed, step, got, was, members, avoided)
+			}
+			d.most = max(d.most, avoided)
+			d.cells(step)
+		}
+		if d.most < 5 {
+			t.Errorf("seed %d: at most %d avoided: it tests nothing", seed, d.most)
+		}
+	}
+}
+
+// step has the policy decide; its calls stay out until end ends them.
+func (d *memberDay) step() {
+	r := d.r
+	r.ring()
+	events := r.events
+	r.events = nil
+	for _, a := range r.policy.Step(r.now(), events, nil) {
+		m := r.msgs[a.Message]
+		switch {
+		case a.Kind == decide.ActSend && m != nil:
+			m.tries++
+			ep := r.byNum[a.Endpoint]
+			c := newTestCall()
+			c.ep, c.conns, c.parts = ep, ep.conns, []part{{m: m, attempt: m.tries - 1}}
+			m.call, ep.calls[c] = c, true
+			r.calls++
+			d.out = append(d.out, m)
+		case (a.Kind == decide.ActRefuse || a.Kind == decide.ActFail) && m != nil:
+			m.over = true
+			r.drop(m)
+		case a.Kind == decide.ActTimer:
+			r.timers = append(r.timers, r.now()+a.After)
+		}
+	}
+}
+
+// cells compares the endpoints of each destination with those of all.
+func (d *memberDay) cells(step int) {
+	want := map[int]int{}
+	for _, ep := range d.r.endpoints {
+		if ep.hostPort != "" {
+			want[ep.cell]++
+		}
+	}
+	for cell := range 8 {
+		if got := len(d.r.members.byCell[cell]); got != want[cell] {
+			d.t.Fatalf("step %d: %d endpoints of destination %d, want %d", step, got, cell, want[cell])
+		}
+	}
+}
+
+// Guards the cost of an idle relay: where nothing happens, and all is well, the gauges look at no endpoint.
+func TestGaugesOfAHealthyList(t *testing.T) {
+	r := newTestRelay(t)
+	r.take(happening{news: largeList(3000, "127.0.0.1:1")})
+	r.step()
+	r.show()
+	if n := len(r.members.doubtful); n != 0 || r.fig.members.Load() != 3000 || r.fig.unavailable.Load() != 0 {
+		t.Errorf("%d looked at again; %d members, %d avoided", n, r.fig.members.Load(), r.fig.unavailable.Load())
+	}
+}
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -176,6 +176,7 @@
 		}
 	}
 	r.policy.Recall(l.Memory, r.fromWall(l.Wall)-l.Now)
+	r.doubtAll()
 }
 
 // lookRound sees whether another process wants to take over, or whether the
@@ -341,6 +342,7 @@
 		e.Wait = max(r.fromWall(rec.Wait)-r.now(), 1)
 	}
 	r.events = append(r.events, e)
+	r.doubtCell(m.rec.Dest)
 	r.wal.Submit(rec, nil)
 	if m.over {
 		delete(r.msgs, m.num)
@@ -391,6 +393,7 @@
 	r.events, r.timers = []decide.Event{e}, nil
 	r.step()
 	r.policy.Recall(old.Memory, 0)
+	r.doubtAll()
 	owed, err := r.openLog()
 	if err != nil {
 		return fmt.Errorf("not taken back: %w", err)
