Do not count the time that a list takes to parse as silence of the watch

Reason: TestListOfTargetSize failed in a run under -race beside the package's other tests: 100 ms after a line of an indented list the next has to come, and the time to parse what has come so far counted against it. A list of 31,000 members takes 162 ms to parse as reported, so a slow core could lose the watch without it.

Change: the timer runs while the reader waits, and stops while it parses. The limit grows by 100 ms for each MB of the list that has come.

Measured: the tests of the reader, silence and size under -race, three times, pass.

--- a/internal/discovery/listreader.go
+++ b/internal/discovery/listreader.go
@@ -54,9 +54,10 @@
 type listReader struct {
 	in          *bufio.Reader
 	maxBytes    int
-	onBytes     func(partial bool) // called for all that comes; partial is a list that is not at its end
-	buffer      []byte             // of the list that is being read
-	depth       int                // of braces and brackets that are open in buffer
+	onWait      func(begun int) // called before each read; so many bytes, in whole lines, of a list have come, and its end has not
+	onRead      func()          // called after it
+	buffer      []byte          // of the list that is being read
+	depth       int             // of braces and brackets that are open in buffer
 	inString    bool
 	escaped     bool // the last byte was a backslash in a string
 	parsedBytes int  // bytes of buffer when it was last parsed
@@ -64,7 +65,7 @@
 }
 
 func newListReader(r io.Reader, maxBytes int) *listReader {
-	return &listReader{in: bufio.NewReader(r), maxBytes: maxBytes, onBytes: func(bool) {}}
+	return &listReader{in: bufio.NewReader(r), maxBytes: maxBytes, onWait: func(int) {}, onRead: func() {}}
 }
 
 // errListCut is a stream that ends within a list.
@@ -73,15 +74,13 @@
 // next gives the next list, or nil for an empty line, by which discovery says
 // that nothing has changed.
 func (r *listReader) next() (*List, error) {
-	for {
-		piece, end := r.in.ReadSlice('\n')
-		if err := r.appendPiece(piece); err != nil {
+	for begun := 0; ; begun = len(r.buffer) {
+		r.onWait(begun)
+		end, err := r.readLine()
+		r.onRead()
+		if err != nil {
 			return nil, err
 		}
-		if errors.Is(end, bufio.ErrBufferFull) {
-			r.onBytes(false)
-			continue
-		}
 		if end != nil && len(bytes.TrimSpace(r.buffer)) == 0 {
 			r.ended = true
 			return nil, end
@@ -93,14 +92,27 @@
 		if err != nil {
 			return nil, err
 		}
-		partial := len(r.buffer) > 0
-		r.onBytes(partial)
-		if !partial {
+		if len(r.buffer) == 0 {
 			return l, nil
 		}
 	}
 }
 
+// readLine reads to the end of a line. end is why the stream ended, or nil; err is
+// a list that is too large.
+func (r *listReader) readLine() (end, err error) {
+	for {
+		piece, end := r.in.ReadSlice('\n')
+		if err := r.appendPiece(piece); err != nil {
+			return nil, err
+		}
+		if !errors.Is(end, bufio.ErrBufferFull) {
+			return end, nil
+		}
+		r.onWait(0) // the rest of a line, which may be long
+	}
+}
+
 // appendPiece takes in a piece of a line.
 func (r *listReader) appendPiece(piece []byte) error {
 	if size := len(r.buffer) + len(piece); size > r.maxBytes {
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -11,7 +11,8 @@
 
 const (
 	watchSilenceTimeout = 3500 * time.Millisecond // a watch says something every 2 s
-	continuationTimeout = 100 * time.Millisecond  // for the rest of a list that goes on after its line: it is written at once
+	continuationTimeout = 100 * time.Millisecond  // for the next line of a list that goes on: it is written at once
+	continuationPerByte = 100 * time.Nanosecond   // more for each byte that has come: large lists take their writer longer
 )
 
 // errWatchSilent ends a watch on which nothing came for too long.
@@ -67,15 +68,15 @@
 		return from, err
 	}
 	defer resp.Body.Close()
-	silenceTimer.Reset(w.silenceTimeout)
 	reader := newListReader(resp.Body, w.listLimit)
-	reader.onBytes = func(partial bool) {
-		if partial {
-			silenceTimer.Reset(continuationTimeout)
-		} else {
-			silenceTimer.Reset(w.silenceTimeout)
+	reader.onWait = func(begun int) {
+		limit := w.silenceTimeout
+		if begun > 0 {
+			limit = min(limit, continuationTimeout+time.Duration(begun)*continuationPerByte)
 		}
+		silenceTimer.Reset(limit)
 	}
+	reader.onRead = func() { silenceTimer.Stop() } // a large list takes its time to parse
 	return w.readChanges(ctx, reader, from)
 }
 
