Bound the connections to all endpoints together

A call now counts what is open to all endpoints; at their part of the descriptors those that were used longest ago and have no call out give up their idle ones. The few endpoints of a small fleet stay below it and notice nothing.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -54,6 +54,10 @@
 	waitOver decide.Time // of what it, or one that shares its limit, told to wait
 	conns    *http.Transport
 	idle     idleWatch
+	counted  *http.Transport // these of its connections are in the pool's count
+	pooled   bool            // is in pool.used
+	lastUse  int             // calls begun so far
+	seenUse  int             // the same when its place in pool.used was last given
 	calls    map[*call]bool
 	entry    decide.Entry // as the policy was last told
 }
@@ -136,6 +140,17 @@
 	line  []byte // as far as it has been handed on
 	ended bool   // nothing more can be read
 	is200 func() // called once a whole first line has come that says 200; may be nil
+
+	closed func() // called at a close, whether or not it is the first; may be nil
+}
+
+// Close tells the pool of the descriptor that is free again.
+func (c *lineConn) Close() error {
+	err := c.Conn.Close()
+	if c.closed != nil {
+		c.closed()
+	}
+	return err
 }
 
 var errStale = errors.New("bytes on the connection that answer nothing")
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -135,6 +135,7 @@
 	calls     int
 	stopAt    time.Time
 	idleConns int
+	pool      pool      // the connections to all endpoints
 	idle      idleWatch // of all endpoints together
 	owner     owner
 	far       map[string]*message // whose calls another process has out
@@ -185,6 +186,7 @@
 	}
 	_, conns := cfg.budget()
 	r.idleConns = max(2, (conns-cfg.Policy.Slots)/40)
+	r.pool.most = conns
 	r.notices = discovery.NewNotices(cfg.Discovery, log, func(id string) { r.in.Put(happening{noticed: id}) })
 	go r.notices.Run(ctx)
 	disc := discovery.NewWatch(cfg.Discovery, cfg.Policy.Relays, log, func(l *discovery.List) { r.in.Put(happening{news: l}) })
@@ -970,6 +972,7 @@
 	}
 	ep.calls[c] = true
 	r.calls++
+	r.pool.use(ep)
 	r.sendOff(c, time.Duration(limit)*time.Microsecond)
 }
 
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -75,6 +75,7 @@
 	r.setListed(ep, false)
 	r.removeFromCell(ep)
 	delete(r.members.doubtful, ep)
+	r.pool.used = slices.DeleteFunc(r.pool.used, func(x *endpoint) bool { return x == ep })
 	delete(r.endpoints, ep.id)
 	delete(r.byNum, ep.num)
 }
--- /dev/null
+++ b/internal/relay/pool_test.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"troutusher/internal/discovery/discoverytest"
+)
+
+// Guards the descriptors against a long list: a call to each of many endpoints, within the time for which a connection
+// stands idle, takes no more connections than there is room for, and each call is made.
+func TestManyEndpointsBounded(t *testing.T) {
+	const (
+		descriptors = 256
+		endpoints   = 600
+	)
+	ep := newFakeEndpoint(t, nil)
+	disc := discoverytest.New(t)
+	for i := range endpoints {
+		disc.List.Members = append(disc.List.Members, ep.member(fmt.Sprintf("s-%d", i), i))
+	}
+	env := testConfig(t, disc, 3)
+	editConfig(t, env, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, descriptors))
+	log := &lockedBuffer{}
+	c := spawnLimited(t, env, log, descriptors)
+	c.ready(t)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	most := 0
+	for i := range endpoints {
+		id := fmt.Sprintf("m%d", i)
+		if s := cl.put(id, fields("plain", 20000, i), nil); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+		waitFor(t, "the call of "+id, func() bool { return ep.count(id) > 0 })
+		most = max(most, c.descriptors())
+	}
+	t.Logf("%d calls to as many endpoints: up to %d descriptors of %d", endpoints, most, descriptors)
+	if n := log.count("too many open files"); n > 0 || most >= descriptors {
+		t.Errorf("out of descriptors %d times", n)
+	}
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	if len(ep.calls) != endpoints {
+		t.Errorf("%d calls", len(ep.calls))
+	}
+}
