Keep the list service's own delays apart from the lab's in a scale run

Such changes and slow batches of heartbeats are counted and told by themselves. The agents' folders may be in memory (agents_in_memory).

--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -55,6 +55,7 @@
 	procs   []*process.Proc
 	meters  []*meter
 	files   []*os.File
+	folders []string // beside the run's own, to be removed
 	judge   *scaleJudge
 	report  ScaleReport
 	ctx     context.Context // ends when everything is to stop
@@ -428,6 +429,9 @@
 	for _, f := range r.files {
 		f.Close()
 	}
+	for _, folder := range r.folders {
+		os.RemoveAll(folder)
+	}
 }
 
 var errEarly = errors.New("lab: a process ended before it was told to")
--- a/internal/lab/scale_play.go
+++ b/internal/lab/scale_play.go
@@ -1,11 +1,13 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"troutusher/internal/lab/hollow"
@@ -231,6 +233,13 @@
 	for i, k := range r.clients {
 		r.note("%s: %d messages offered, %d refused, %d taken on, %d not heard of", r.reals[i].name, k.offered.Load(), k.refused.Load(), k.taken.Load(), k.unheard.Load())
 	}
+	m := r.members
+	if len(m.back) > 0 {
+		last := slices.MaxFunc(m.back, func(a, b scaleChange) int { return cmp.Compare(a.Answered, b.Answered) })
+		first := slices.MinFunc(m.back, func(a, b scaleChange) int { return cmp.Compare(a.Asked, b.Asked) })
+		r.note("list service: the zone's %d members were registered again in %.1f s", len(m.back), float64(last.Answered-first.Asked)/1e6)
+	}
+	r.note("list service: %d changes waited for the answer to the one before, %d batches of heartbeats took over a third of a time to live", m.changesBehind, m.beatsBehind)
 	r.note("endpoints of the real relays: %d messages", r.far.delivered.Load())
 }
 
--- a/internal/lab/scenario/scale.go
+++ b/internal/lab/scenario/scale.go
@@ -26,6 +26,10 @@
 	LapseAt    float64 `toml:"lapse_at"`  // the registrations of fleet.zones' last stop, in seconds of the load; 0 for never
 	LapseFor   float64 `toml:"lapse_for"` // and are back after so many seconds
 	Writers    int     `toml:"writers"`   // that register members at once
+
+	// The agents' folders are in memory (/dev/shm): on one machine, where all share a
+	// disk, their syncs would slow the nodes', which stand elsewhere in a fleet.
+	AgentsInMemory bool `toml:"agents_in_memory"`
 }
 
 // scaleDefaults are the keys that a scale scenario may leave out.
