--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -64,8 +64,8 @@
 	return names
 }
 
-// Run measures. A job that fails is noted with its error, and the others go on;
-// the error tells of failed jobs. Jobs run one after another, so that none bends
+// Run measures. A job that fails, or whose measurements do not pass Check, is
+// noted with its error, and the others go on; the error tells of all such jobs. Jobs run one after another, so that none bends
 // the figures of another; only a smoke run, whose figures are not kept, has
 // several at once.
 func Run(ctx context.Context, o Options) (*Result, error) {
@@ -83,6 +83,9 @@
 		group.Go(func() error {
 			began := time.Now()
 			measured[i], failed[i] = j.measure(ctx, o)
+			for k := range measured[i] {
+				failed[i] = errors.Join(failed[i], measured[i][k].Check())
+			}
 			if failed[i] != nil {
 				failed[i] = fmt.Errorf("capacity: %s: %w", j.name, failed[i])
 			}
