Look once a minute for endpoints that left long ago, not at each change

Each change of the list walked over all endpoints to drop those that had left ten minutes before: 3,875 changes at one moment, as when a zone lapses, walked over 31,000 each. The look is made once a minute now, so an endpoint is remembered for up to 11 minutes. TestGoneEndpointsForgotten holds both ends. Not timed apart.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -30,7 +30,8 @@
 	firstList  = 1500 * time.Millisecond // how long the start waits for discovery
 	showEvery  = 250 * time.Millisecond  // gauges are this old at most
 	showLeast  = decide.Time(100e3)      // and are worked out no more often than this
-	forgetGone = decide.Time(600e6)      // how long an endpoint that left is remembered
+	goneMemory = decide.Time(600e6)      // how long an endpoint that left is remembered at least
+	goneSweep  = decide.Time(60e6)       // between two looks for those: a change must not cost a walk over the list
 	clockStart = decide.Time(3600e6)     // of the policy's clock: sends of an earlier process lie before it
 )
 
@@ -695,11 +696,7 @@
 		}
 	}
 	r.events = append(r.events, e)
-	for _, ep := range r.endpoints { // the list's comings and goings must not fill the memory
-		if ep.gone && len(ep.calls) == 0 && r.now()-ep.goneAt > forgetGone {
-			r.forget(ep)
-		}
-	}
+	r.forgetGone()
 }
 
 func (r *Relay) member(x *discovery.Member) decide.Entry {
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -15,6 +15,7 @@
 	// policy begins to avoid one with news of the list or of a call there, or to a
 	// sibling; by time alone it only ceases to.
 	doubtful map[*endpoint]bool
+	sweptAt  decide.Time // when endpoints that left long ago were last looked for
 }
 
 // setListed books whether discovery names an endpoint.
@@ -70,6 +71,21 @@
 	}
 }
 
+// forgetGone drops the endpoints that left long ago: the list's comings and
+// goings must not fill the memory.
+func (r *Relay) forgetGone() {
+	now := r.now()
+	if now-r.members.sweptAt < goneSweep {
+		return
+	}
+	r.members.sweptAt = now
+	for _, ep := range r.endpoints {
+		if ep.gone && len(ep.calls) == 0 && now-ep.goneAt > goneMemory {
+			r.forget(ep)
+		}
+	}
+}
+
 // forget drops an endpoint that left long ago.
 func (r *Relay) forget(ep *endpoint) {
 	r.setListed(ep, false)
--- a/internal/relay/members_test.go
+++ b/internal/relay/members_test.go
@@ -164,3 +164,32 @@
 		t.Errorf("%d looked at again; %d members, %d avoided", n, r.fig.members.Load(), r.fig.unavailable.Load())
 	}
 }
+
+// Guards the memory of a list whose members come and go: those that left long ago are forgotten, and not sooner. A change
+// in between walks over nothing.
+func TestGoneEndpointsForgotten(t *testing.T) {
+	r := newTestRelay(t)
+	change := func(id, phase string) {
+		r.take(happening{news: &discovery.List{Members: []discovery.Member{
+			{ID: id, HostPort: "127.0.0.1:1", Flavor: "k", Cell: 1, Phase: phase, Size: 1}}}})
+	}
+	pass := func(span decide.Time) { r.began = r.began.Add(-time.Duration(span) * time.Microsecond) }
+	change("gone", discovery.Up)
+	change("gone", discovery.Removed)
+	pass(goneMemory - goneSweep)
+	change("other", discovery.Up)
+	if r.endpoints["gone"] == nil {
+		t.Fatal("an endpoint was forgotten before its time")
+	}
+	swept := r.members.sweptAt
+	pass(goneSweep / 2)
+	change("other", discovery.Draining)
+	if r.members.sweptAt != swept {
+		t.Error("a change walked over all endpoints")
+	}
+	pass(2 * goneSweep)
+	change("other", discovery.Up)
+	if r.endpoints["gone"] != nil || len(r.byNum) != 1 || len(r.members.byCell[1]) != 1 {
+		t.Errorf("%d endpoints are known, %d by number, %d by destination", len(r.endpoints), len(r.byNum), len(r.members.byCell[1]))
+	}
+}
