--- a/internal/lab/capacity/agent.go
+++ b/internal/lab/capacity/agent.go
@@ -27,7 +27,7 @@
 	}
 	return []job{
 		{name: "agent", sizes: memberSizes, smoke: smokeSizes, run: agentChanges, quantities: []Quantity{
-			quantity("agent", "processor for a change", "ms", list, targetMembers, 0), quantity("agent", "written to disk for a change", "KB", list, targetMembers, 0),
+			quantity("agent", "processor for a change", "ms", list, targetMembers, 0), quantity("agent", "handed to files and sockets for a change", "KB", list, targetMembers, 0),
 			quantity("agent", "from a change's answer until the agent has it", "ms", list, targetMembers, 16_000), quantity("agent", "memory, after the changes", "MB", list, targetMembers, budgetMemory),
 			quantity("agent", "memory, most so far", "MB", list, targetMembers, budgetMemory),
 			quantity("agent", "from its first start until it has the list", "ms", list, targetMembers, 0),
--- a/internal/lab/capacity/registry_jobs.go
+++ b/internal/lab/capacity/registry_jobs.go
@@ -31,7 +31,7 @@
 			quantities: []Quantity{quantity("until all watchers have the whole list", "ms", watchers, targetRelays),
 				quantity("from a write to the last watcher, median of 20", "ms", watchers, targetRelays),
 				quantity("from a write to the last watcher, longest of 20", "ms", watchers, targetRelays),
-				quantity("memory of three nodes for their watchers", "MB", watchers, targetRelays)},
+				quantity("memory of three nodes as the last watcher has its list", "MB", watchers, targetRelays)},
 			run: func(ctx context.Context, e *environment, size int) ([]float64, error) {
 				return watchGroup(ctx, e, scaled(e, 100, members), size)
 			}}
@@ -39,7 +39,7 @@
 	return []job{
 		{name: "registry-write", sizes: memberSizes, smoke: smokeSizes, run: writeGroup, quantities: []Quantity{
 			quantity("time of the group for a change, 16 writers", "us", list, targetMembers), quantity("processor of three nodes for a change", "us", list, targetMembers),
-			quantity("written to three disks for a change", "KB", list, targetMembers), quantity("memory of a node", "MB", list, targetMembers)}},
+			quantity("handed by three nodes to files and sockets for a change", "KB", list, targetMembers), quantity("memory of a node", "MB", list, targetMembers)}},
 		{name: "registry-beat", sizes: memberSizes, smoke: smokeSizes, run: beatGroup, quantities: []Quantity{
 			quantity("processor of three nodes that nobody asks", "% of a core", list, targetMembers),
 			quantity("time of the group for a heartbeat, 16 clients", "us", list, targetMembers), quantity("processor of three nodes for a heartbeat", "us", list, targetMembers),
