--- a/internal/discovery/listsize_test.go
+++ b/internal/discovery/listsize_test.go
@@ -172,3 +172,39 @@
 		})
 	}
 }
+
+// A watch that is answered by a status that does not turn it away, such as 410,
+// cannot go on from where it was: the whole list is asked for again. One that
+// is turned away goes on.
+func TestWatchStatus(t *testing.T) {
+	t.Parallel()
+	for status, fetches := range map[int]int{http.StatusGone: 2, http.StatusNotFound: 2, http.StatusTooManyRequests: 1, http.StatusInternalServerError: 1} {
+		var mu sync.Mutex
+		asked, watches := 0, 0
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			if r.URL.Query().Get("watch") != "" {
+				if watches++; watches == 1 {
+					w.WriteHeader(status)
+				}
+				return // the second one ends at once
+			}
+			asked++
+			json.NewEncoder(w).Encode(discovery.List{Revision: 1, Complete: true, Members: longNames(1)})
+		}))
+		ctx, cancel := context.WithCancel(t.Context())
+		x, done := discovery.NewWatch(srv.Listener.Addr().String(), 1, slog.New(slog.DiscardHandler), func(*discovery.List) {}), make(chan struct{})
+		go func() { defer close(done); x.Run(ctx) }()
+		discoverytest.WaitFor(t, "a second watch", func() bool { mu.Lock(); defer mu.Unlock(); return watches >= 2 })
+		mu.Lock()
+		got := asked
+		mu.Unlock()
+		if got != fetches {
+			t.Errorf("a watch answered by %d: the whole list was asked for %d times, want %d", status, got, fetches)
+		}
+		cancel()
+		<-done
+		srv.Close()
+	}
+}
