Measure held messages and starts with the memory that a relay has

The jobs relay-held and relay-start gave the relay 8 GB, of which a quarter is for messages: nothing was spilled up to 100,000, and the figures were those of a relay with no bound. They give it 256 MB now and go up to 300,000.

--- a/internal/lab/capacity/relay_jobs.go
+++ b/internal/lab/capacity/relay_jobs.go
@@ -25,6 +25,9 @@
 	largeDisk   = 4096 // MB
 )
 
+// heldSizes go beyond what a relay of that memory keeps there: the rest is in its log.
+var heldSizes = []int{3000, 10_000, 30_000, 100_000, 300_000}
+
 func relayJobs() []job {
 	const list, held = "members", "messages owed"
 	quantity := func(name, unit, sizeUnit string, target, budget float64) Quantity {
@@ -40,11 +43,11 @@
 			quantity("processor with 2,000 owed to 589 destinations that refuse", "% of a core", list, targetMembers, 100),
 			quantity("until all is read, the same", "ms", list, targetMembers, 10_000),
 			quantity("longest wait for an answer meanwhile, the same", "ms", list, targetMembers, 400)}},
-		{name: "relay-held", sizes: []int{1000, 3000, 10_000, 30_000, 100_000}, smoke: []int{300, 3000}, run: relayHeld, quantities: []Quantity{
+		{name: "relay-held", sizes: heldSizes, smoke: []int{300, 3000}, run: relayHeld, quantities: []Quantity{
 			quantity("memory for messages of 200 bytes to destinations that are down", "MB", held, targetHeld, budgetMemory),
 			quantity("disk for them", "MB", held, targetHeld, 0), quantity("processor time to take them on", "ms", held, targetHeld, 0),
 			quantity("processor while they wait", "% of a core", held, targetHeld, 0)}},
-		{name: "relay-start", sizes: []int{1000, 3000, 10_000, 30_000, 100_000}, smoke: []int{300, 3000}, run: relayStart, quantities: []Quantity{
+		{name: "relay-start", sizes: heldSizes, smoke: []int{300, 3000}, run: relayStart, quantities: []Quantity{
 			quantity("from a start after SIGKILL until it serves", "ms", held, targetHeld, 10_000),
 			quantity("from a start after SIGKILL until all is read", "ms", held, targetHeld, 10_000),
 			quantity("memory once all is read", "MB", held, targetHeld, budgetMemory), quantity("most memory by then", "MB", held, targetHeld, budgetMemory),
@@ -98,7 +101,7 @@
 		return nil, err
 	}
 	defer s.close()
-	r, err := e.newRelay(s.addr, s.known(), relayLimits{memoryMB: largeMemory, diskMB: largeDisk, held: size*2 + 1000})
+	r, err := e.newRelay(s.addr, s.known(), relayLimits{memoryMB: budgetMemory, diskMB: largeDisk, held: size*2 + 1000})
 	if err != nil {
 		return nil, err
 	}
@@ -232,7 +235,7 @@
 		return nil, err
 	}
 	defer s.close()
-	r, err := e.newRelay(s.addr, s.known(), relayLimits{memoryMB: largeMemory, diskMB: largeDisk, held: size*2 + 1000})
+	r, err := e.newRelay(s.addr, s.known(), relayLimits{memoryMB: budgetMemory, diskMB: largeDisk, held: size*2 + 1000})
 	if err != nil {
 		return nil, err
 	}
