Keep the log that a test reads under its lock

go test -race ./internal/relay: one data race, in TestManyEndpointsBounded. Its buffer embedded a bytes.Buffer, whose ReadFrom io.Copy prefers to the locked Write. The buffer is a field now. The test asks for the same.

--- a/internal/relay/crowd_test.go
+++ b/internal/relay/crowd_test.go
@@ -149,20 +149,20 @@
 
 // lockedBuffer keeps what a process logs.
 type lockedBuffer struct {
-	mu sync.Mutex
-	bytes.Buffer
+	mu   sync.Mutex
+	text bytes.Buffer // no embedding: a copy into its own ReadFrom would go past the lock
 }
 
 func (b *lockedBuffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Buffer.Write(p)
+	return b.text.Write(p)
 }
 
 func (b *lockedBuffer) count(text string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return strings.Count(b.String(), text)
+	return strings.Count(b.text.String(), text)
 }
 
 // spawnLimited starts a relay that can hold so many descriptors.
