Log steps of the wall clock, refusals with their reason, and what is overdue

Change: a warning and app_clock_steps for each step, app_overdue by the client's own words, app_refused_* by reason, the age beside the time left in 'ended' and 'attempt', ROUTER_LOG_LEVEL=debug for a line a message.

--- a/cmd/troutusher/main.go
+++ b/cmd/troutusher/main.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"math"
 	"os"
@@ -22,14 +24,30 @@
 	exitConfig = 2
 )
 
+// logLevelName is the environment variable that sets how much is logged: debug,
+// info, warn or error. Without it, info; debug has a line for each message.
+const logLevelName = "ROUTER_LOG_LEVEL"
+
+func logLevel(text string) (level slog.Level, err error) {
+	if text == "" {
+		return slog.LevelInfo, nil
+	}
+	if err = level.UnmarshalText([]byte(text)); err != nil {
+		return slog.LevelInfo, fmt.Errorf("%s: %q; debug, info, warn or error is wanted", logLevelName, text)
+	}
+	return level, nil
+}
+
 func main() {
 	hup := make(chan os.Signal, 1) // from the first moment: unhandled, it would end the process
 	signal.Notify(hup, syscall.SIGHUP)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	level, levelErr := logLevel(os.Getenv(logLevelName))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	cfg, err := relay.LoadConfig(os.Getenv)
 	if err == nil {
 		err = disk(cfg)
 	}
+	err = errors.Join(levelErr, err)
 	if err != nil {
 		log.Error("cannot start", "err", err)
 		os.Exit(exitConfig)
--- a/internal/relay/backlog.go
+++ b/internal/relay/backlog.go
@@ -92,6 +92,7 @@
 	}
 	m.spill.Place, m.spill.Check = uint32(m.rec.Ref), uint16(m.rec.Ref>>32)
 	r.spills.store.Add(m.rec.Dest, *m.spill)
+	r.forgetDue(m)
 	delete(r.ids, m.rec.ID)
 	delete(r.msgs, m.num)
 	r.fig.spilled.Store(int64(r.spills.count()))
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -132,8 +132,9 @@
 	rec    *wal.Record
 	class  int
 	tenant int
-	left   time.Duration
-	owed   bool // it is in the log already
+	at     time.Time     // when its last byte came
+	left   time.Duration // from then on
+	owed   bool          // it is in the log already
 	reply  chan string
 }
 
@@ -193,7 +194,7 @@
 	if err != nil || !(ms >= 0 && ms <= 1e9) {
 		return nil, fmt.Errorf("d: %q is no time in milliseconds", have["d"])
 	}
-	q.left = time.Duration(ms * float64(time.Millisecond))
+	q.at, q.left = now, time.Duration(ms*float64(time.Millisecond))
 	q.rec.Deadline = now.Add(q.left).UnixMicro()
 	if q.rec.Dest, err = strconv.Atoi(have["dest"]); err != nil || q.rec.Dest < 0 || q.rec.Dest > 1<<16 {
 		return nil, fmt.Errorf("dest: %q is no destination", have["dest"])
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -224,7 +224,7 @@
 	}
 	stop := make(chan struct{})
 	go w.Run(stop)
-	r := &Relay{cfg: cfg, log: quietLog(), policy: policy, in: mailbox.New[happening](), began: time.Now(), wal: w,
+	r := &Relay{cfg: cfg, log: quietLog(), policy: policy, in: mailbox.New[happening](), began: time.Now(), clocks: newClockWatch(), wal: w,
 		ctx: t.Context(), msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
 		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, idleConns: 2, fig: newFigures(cfg.Policy.Classes)}
 	t.Cleanup(func() { close(stop); <-w.Done() })
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -23,15 +23,36 @@
 	// Of the log.
 	unread, damaged, lost, concerned atomic.Int64
 	waits                            atomic.Value // what keeps the relay from being ready; a string
+	refused                          map[refusal]*atomic.Int64
+	overdue                          atomic.Int64 // messages held past their time
+	clockSteps                       atomic.Int64 // of the wall clock since the start
 }
 
+// refusal is why a request was not taken on, as log and figures name it.
+type refusal string
+
+// Refusals.
+const (
+	refusedStopping refusal = "stopping" // the process ends
+	refusedFull     refusal = "full"     // as many are held as may be
+	refusedTwice    refusal = "twice"    // its id is being handed in already
+	refusedLog      refusal = "log"      // the log could not take it
+	refusedPolicy   refusal = "policy"   // shed, to come again
+	refusedHopeless refusal = "hopeless" // given up before it was taken on
+)
+
+var refusals = []refusal{refusedStopping, refusedFull, refusedTwice, refusedLog, refusedPolicy, refusedHopeless}
+
 type laneFigures struct {
 	name                                  string
 	completed, rejected, failed, upstream atomic.Int64
 }
 
 func newFigures(classes []decide.Class) *figures {
-	f := &figures{lanes: make([]laneFigures, len(classes))}
+	f := &figures{lanes: make([]laneFigures, len(classes)), refused: map[refusal]*atomic.Int64{}}
+	for _, why := range refusals {
+		f.refused[why] = &atomic.Int64{}
+	}
 	for i := range classes {
 		f.lanes[i].name = classes[i].Name
 	}
@@ -83,6 +104,10 @@
 			fmt.Fprintf(&b, "%s{lane=%s} %d\n", c.name, strconv.Quote(l.name), c.of(l).Load())
 		}
 	}
+	for _, why := range refusals {
+		fmt.Fprintf(&b, "# HELP app_refused_%[1]s Requests that were not taken on: %[1]s.\n# TYPE app_refused_%[1]s counter\napp_refused_%[1]s %[2]d\n", why, f.refused[why].Load())
+	}
+	fmt.Fprintf(&b, "# HELP app_clock_steps Steps of the machine's wall clock since the start.\n# TYPE app_clock_steps counter\napp_clock_steps %d\n", f.clockSteps.Load())
 	fmt.Fprintf(&b, "# HELP app_loaded Messages read back from the log after they were spilled.\n# TYPE app_loaded counter\napp_loaded %d\n", f.loaded.Load())
 	for _, g := range []struct {
 		name, help string
@@ -92,6 +117,7 @@
 		{"app_members", "Endpoints on the list.", &f.members},
 		{"app_members_unavailable", "Endpoints on the list that the relay avoids now.", &f.unavailable},
 		{"app_spilled", "Messages pending that are in the log alone, not in memory.", &f.spilled},
+		{"app_overdue", "Messages held past their time.", &f.overdue},
 		{"app_log_unread", "Messages owed at the start that are still to be read.", &f.unread},
 		{"app_log_damaged", "Damaged stretches found in the log at the start.", &f.damaged},
 		{"app_log_lost", "Messages that damage to the log took; each was given up.", &f.lost},
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -52,6 +52,8 @@
 	ending  *wal.Record    // its end, likewise
 	spill   *backlog.Entry // the log alone is to have it, likewise
 	call    *call
+	taken   time.Time   // when its request came, or when this process took it up
+	due     decide.Time // its place among what may be overdue; 0 for none
 }
 
 // batch is what one step sends to one endpoint as one call. It goes out once
@@ -151,11 +153,17 @@
 	fig       *figures
 	saysNo    bool        // the policy has this process refuse clients
 	shownAt   decide.Time // when the gauges were last published
+	clocks    clockWatch
+	overdue   overdue
+	lateNow   int // messages overdue when the gauges were last published
 	ctx       context.Context
 }
 
 func (r *Relay) now() decide.Time { return clockStart + time.Since(r.began).Microseconds() }
 
+// at turns a moment of the process's into one of the policy's clock.
+func (r *Relay) at(t time.Time) decide.Time { return clockStart + t.Sub(r.began).Microseconds() }
+
 // moment turns a moment of the policy's clock into one of the process's.
 func (r *Relay) moment(t decide.Time) time.Time {
 	return r.began.Add(time.Duration(t-clockStart) * time.Microsecond)
@@ -177,7 +185,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r := &Relay{cfg: cfg, log: log, policy: policy, in: mailbox.New[happening](), began: time.Now(), ctx: ctx,
+	r := &Relay{cfg: cfg, log: log, policy: policy, in: mailbox.New[happening](), began: time.Now(), clocks: newClockWatch(), ctx: ctx,
 		msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
 		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}}
 	r.fig = newFigures(cfg.Policy.Classes)
@@ -342,6 +350,7 @@
 	if rec.Doubt != 0 {
 		e.DoubtAt = max(r.fromWall(rec.Doubt), 1)
 	}
+	m.due = r.overdue.add(r.now() + e.Left)
 	return e
 }
 
@@ -424,7 +433,7 @@
 
 func (r *Relay) newMessage(rec *wal.Record) *message {
 	r.lastNum++
-	m := &message{num: r.lastNum, rec: rec, class: place(r.cfg.classes, rec.Class)}
+	m := &message{num: r.lastNum, rec: rec, class: place(r.cfg.classes, rec.Class), taken: time.Now()}
 	r.msgs[m.num], r.ids[rec.ID] = m, m
 	r.held++
 	return m
@@ -455,6 +464,7 @@
 		case <-timer.C:
 		}
 		got = r.in.TakeAll(got)
+		r.watchClock()
 		if r.owner.side != nil { // after the mailbox: what was taken on there before is known here
 			r.follow()
 		}
@@ -582,20 +592,22 @@
 		r.takeOnFor(q)
 		return
 	case !r.stopAt.IsZero() && !r.owner.passed:
-		r.turnAway(q, stopRetry)
+		r.turnAway(q, stopRetry, refusedStopping)
 		return
 	case old != nil && old.heard, old == nil && q.owed: // it is ours already
 		q.answer(replyOK)
 		return
 	case old != nil:
+		r.refused(q, refusedTwice)
 		q.answer(fault(errors.New("id is being handed in already")))
 		return
 	case r.cfg.Policy.MaxHeld > 0 && r.held >= r.cfg.Policy.MaxHeld:
-		r.turnAway(q, 0)
+		r.turnAway(q, 0, refusedFull)
 		return
 	}
 	m := r.newMessage(q.rec)
-	m.req = q
+	m.req, m.taken = q, q.at
+	m.due = r.overdue.add(r.at(q.at.Add(q.left)))
 	r.waiting[q] = m
 	r.events = append(r.events, decide.Event{Kind: decide.EvMessage, Message: m.num, Class: q.class,
 		Dest: q.rec.Dest, Tenant: q.tenant, Left: r.fromWall(q.rec.Deadline) - r.now()})
@@ -629,17 +641,25 @@
 		delete(r.waiting, q)
 		r.withdraw(m)
 	}
-	r.turnAway(q, 0)
+	r.turnAway(q, 0, refusedLog)
 }
 
 // turnAway refuses what was never taken on.
-func (r *Relay) turnAway(q *request, ms int64) {
+func (r *Relay) turnAway(q *request, ms int64, why refusal) {
+	r.refused(q, why)
 	r.fig.ended(q.class, discovery.HandedBack)
 	q.answer(busy(ms))
 }
 
+// refused logs and counts why a request was not taken on.
+func (r *Relay) refused(q *request, why refusal) {
+	r.fig.refused[why].Add(1)
+	r.log.Debug("refused", "message", q.rec.ID, "class", q.rec.Class, "dest", q.rec.Dest, "why", why, "left_ms", q.left.Milliseconds(), "held", r.held)
+}
+
 // withdraw: nobody wants the message any more, and nobody was told it is ours.
 func (r *Relay) withdraw(m *message) {
+	r.log.Debug("withdrawn", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest)
 	if m.logged {
 		r.wal.Submit(&wal.Record{Kind: wal.End, ID: m.rec.ID}, nil)
 	}
@@ -669,12 +689,19 @@
 	if !m.away {
 		r.held--
 	}
+	r.forgetDue(m)
 	delete(r.ids, m.rec.ID)
 	if m.call == nil && m.pending == nil && !m.far {
 		delete(r.msgs, m.num)
 	}
 }
 
+// forgetDue takes a message out of the count of what may be overdue.
+func (r *Relay) forgetDue(m *message) {
+	r.overdue.remove(m.due)
+	m.due = 0
+}
+
 // list books news of the list.
 func (r *Relay) list(l *discovery.List, kind decide.ListNews) {
 	e := decide.Event{Kind: decide.EvList, List: kind}
@@ -772,6 +799,18 @@
 	r.fig.members.Store(int64(r.members.listed))
 	r.fig.unavailable.Store(int64(r.avoided(r.shownAt)))
 	r.fig.pending.Store(int64(r.held - len(r.far))) // those are the other process's until their calls are over
+	r.showOverdue()
+}
+
+// showOverdue publishes how many messages are held past their time, and logs where
+// there are some for the first time or none any more.
+func (r *Relay) showOverdue() {
+	n := r.overdue.count(r.shownAt)
+	if (n > 0) != (r.lateNow > 0) {
+		r.log.Warn("messages are held past their time", "count", n, "held", r.held)
+	}
+	r.lateNow = n
+	r.fig.overdue.Store(int64(n))
 }
 
 func place(at map[string]int, name string) int {
@@ -824,6 +863,7 @@
 func (r *Relay) takeOn(m *message) {
 	q := m.req
 	m.req, m.logged = nil, true
+	r.log.Debug("taken on", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "left_ms", (r.fromWall(m.rec.Deadline)-r.now())/1000)
 	r.wal.Submit(m.rec, func(err error) {
 		if err != nil {
 			r.in.Put(happening{lost: q})
@@ -846,8 +886,10 @@
 		m.req = nil
 		delete(r.waiting, q)
 		if word == discovery.HandedBack {
+			r.refused(q, refusedPolicy)
 			q.answer(busy(ms))
 		} else {
+			r.refused(q, refusedHopeless)
 			q.answer(fault(errors.New("given up")))
 		}
 		r.drop(m)
@@ -855,7 +897,7 @@
 	}
 	r.drop(m)
 	r.log.Info("ended", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "tries", m.tries,
-		"left_ms", (r.fromWall(m.rec.Deadline)-r.now())/1000)
+		"left_ms", (r.fromWall(m.rec.Deadline)-r.now())/1000, "age_ms", time.Since(m.taken).Milliseconds())
 	if !m.heard {
 		m.ending = &wal.Record{Notice: word, RetryMS: ms}
 		return
@@ -1079,7 +1121,7 @@
 	if o.what != decide.Delivered {
 		r.log.Info("attempt", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
 			"attempt", attempt, "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000,
-			"idle_ms", o.idle.Milliseconds(), "err", o.err)
+			"idle_ms", o.idle.Milliseconds(), "age_ms", time.Since(m.taken).Milliseconds(), "err", o.err)
 	}
 	rec := &wal.Record{Kind: wal.Outcome, ID: m.rec.ID, Ran: !o.what.NeverRan()}
 	if o.settled {
@@ -1107,5 +1149,6 @@
 	} else if r.owner.passed && !m.away {
 		m.away = true
 		r.held--
+		r.forgetDue(m)
 	}
 }
--- /dev/null
+++ b/internal/relay/overdue.go
@@ -0,0 +1,46 @@
+package relay
+
+import "troutusher/decide"
+
+const (
+	overdueSpan  = decide.Time(250e3) // messages whose times end within one such span are counted together
+	overdueGrace = decide.Time(500e3) // after its time a message may take so long to end
+)
+
+// overdue counts the messages that are held past their time. It goes by what the
+// client said and by the moment at which the request came, not by the deadline
+// that the log and the policy have, so that a fault there shows.
+type overdue struct {
+	ends map[decide.Time]int // messages held, by the span in which their time ends
+}
+
+// add books a message whose time ends at a moment of the policy's clock; remove
+// needs what it returns.
+func (o *overdue) add(end decide.Time) (span decide.Time) {
+	if o.ends == nil {
+		o.ends = map[decide.Time]int{}
+	}
+	span = max(end/overdueSpan, 1)
+	o.ends[span]++
+	return span
+}
+
+// remove books that a message is held no longer; span 0 was never booked.
+func (o *overdue) remove(span decide.Time) {
+	switch n := o.ends[span]; {
+	case n > 1:
+		o.ends[span] = n - 1
+	case n == 1:
+		delete(o.ends, span)
+	}
+}
+
+// count is how many are held past their time and the grace.
+func (o *overdue) count(now decide.Time) (n int) {
+	for span, held := range o.ends {
+		if (span+1)*overdueSpan+overdueGrace <= now {
+			n += held
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/relay/overdue_test.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"troutusher/decide"
+)
+
+// The count agrees with a walk over all that is held, but for the width of a span.
+func TestOverdueCount(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		var o overdue
+		type held struct{ end, span decide.Time }
+		var all []held
+		for now := decide.Time(1e9); now < 1030e6; now += 1 + rng.Int64N(60e3) {
+			if n := len(all); n > 0 && rng.IntN(2) == 0 {
+				i := rng.IntN(n)
+				o.remove(all[i].span)
+				all[i] = all[n-1]
+				all = all[:n-1]
+			} else {
+				end := now + rng.Int64N(4e6)
+				all = append(all, held{end, o.add(end)})
+			}
+			least, most := 0, 0
+			for _, x := range all {
+				if x.end+overdueGrace+overdueSpan <= now {
+					least++
+				}
+				if x.end+overdueGrace <= now {
+					most++
+				}
+			}
+			if n := o.count(now); n < least || n > most {
+				t.Fatalf("seed %d at %d: %d are overdue, by the walk %d to %d", seed, now, n, least, most)
+			}
+		}
+		for _, x := range all {
+			o.remove(x.span)
+		}
+		if len(o.ends) > 0 {
+			t.Errorf("seed %d: %d spans are left", seed, len(o.ends))
+		}
+	}
+}
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -233,6 +233,7 @@
 		if m.call == nil && !m.over {
 			m.away = true
 			r.held--
+			r.forgetDue(m)
 		}
 	}
 	for _, ep := range r.endpoints {
@@ -387,7 +388,7 @@
 	r.policy = policy
 	r.msgs, r.ids, r.waiting = map[uint32]*message{}, map[string]*message{}, map[*request]*message{}
 	r.forgetSpilled()
-	r.held = 0
+	r.held, r.overdue = 0, overdue{}
 	r.owner.passed, r.owner.freed = false, false
 	e := decide.Event{Kind: decide.EvList, List: decide.ListFull}
 	for _, ep := range r.endpoints {
