--- /dev/null
+++ b/internal/relay/clockstep_test.go
@@ -0,0 +1,261 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"troutusher/internal/clock/clocktest"
+	"troutusher/internal/discovery"
+	"troutusher/internal/discovery/discoverytest"
+)
+
+// endSlack is what an end may come after a message's time by the protocol (300 ms),
+// and 50 ms on sockets.
+const endSlack = 350 * time.Millisecond
+
+// steppedRelay is a relay on a machine whose wall clock a test steps.
+type steppedRelay struct {
+	t       *testing.T
+	wall    *clocktest.Wall
+	env     map[string]string
+	child   *child
+	cl      *testClient
+	disc    *discoverytest.Server
+	notices *noticeTimes
+	quick   *fakeEndpoint // serves 1
+	hung    *fakeEndpoint // serves 2
+	later   *fakeEndpoint // serves 5, once it is listed
+	log     *lockedLog
+	taken   map[string]time.Time
+}
+
+// lockedLog keeps what all processes of a test log.
+type lockedLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lockedLog) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Contains(l.text.Bytes(), []byte(text))
+}
+
+func newSteppedRelay(t *testing.T) *steppedRelay {
+	s := &steppedRelay{t: t, wall: clocktest.New(t), notices: &noticeTimes{at: map[string]time.Time{}}, log: &lockedLog{}, taken: map[string]time.Time{},
+		quick: newFakeEndpoint(t, nil), hung: newFakeEndpoint(t, hang), later: newFakeEndpoint(t, nil)}
+	s.disc = discoverytest.New(t, s.quick.member("s-1", 1), s.hung.member("s-2", 2))
+	s.env = testConfig(t, s.disc, 3)
+	maps.Copy(s.env, s.wall.Env())
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go s.notices.follow(s.disc, done)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("%s", s.log.text.Bytes())
+		}
+	})
+	return s
+}
+
+func (s *steppedRelay) start() {
+	s.t.Helper()
+	s.child = spawnTo(s.t, s.env, s.log)
+	s.child.ready(s.t)
+	s.cl = dialClient(s.t, s.env["ROUTER_LISTEN"])
+}
+
+// put hands a message in that has to be taken on.
+func (s *steppedRelay) put(id, class string, left time.Duration, dest int) {
+	s.t.Helper()
+	s.taken[id] = time.Now()
+	if answer := s.cl.put(id, fields(class, int(left.Milliseconds()), dest), nil); answer != "+OK" {
+		s.t.Errorf("%s: %s", id, answer)
+		delete(s.taken, id)
+	}
+}
+
+// list5 lists the endpoint that serves 5.
+func (s *steppedRelay) list5() {
+	s.disc.Set(func(d *discoverytest.Server) { d.List.Members = append(d.List.Members, s.later.member("s-5", 5)) })
+}
+
+// endsAt requires the notice of a message when its time is up: not much before it,
+// and no later than is allowed. A restart until since excuses what was due by then.
+func (s *steppedRelay) endsAt(id string, left time.Duration, since time.Time) {
+	s.t.Helper()
+	began, ok := s.taken[id]
+	if !ok {
+		return // it was not taken on, which is told already
+	}
+	most := began.Add(left + endSlack)
+	if restarted := since.Add(1500*time.Millisecond + endSlack); restarted.After(most) && !since.IsZero() {
+		most = restarted
+	}
+	var at time.Time
+	for seen := false; !seen && time.Now().Before(most.Add(time.Second)); time.Sleep(2 * time.Millisecond) {
+		at, seen = s.notices.of(id)
+	}
+	switch {
+	case at.IsZero():
+		s.t.Errorf("%s, taken on with %v, has no end after %v", id, left, time.Since(began))
+	case at.After(most):
+		s.t.Errorf("%s, taken on with %v, ended after %v", id, left, at.Sub(began))
+	case at.Before(began.Add(left * 9 / 10)):
+		s.t.Errorf("%s, taken on with %v, ended after %v already", id, left, at.Sub(began))
+	}
+}
+
+// delivered requires that a message is answered 200, and has no notice.
+func (s *steppedRelay) delivered(e *fakeEndpoint, id string) {
+	s.t.Helper()
+	began, ok := s.taken[id]
+	if !ok {
+		return
+	}
+	for time.Since(began) < 20*time.Second && !e.answered(id) {
+		time.Sleep(2 * time.Millisecond)
+	}
+	if n, ended := s.disc.Notice(id); ended || !e.answered(id) {
+		s.t.Errorf("%s: delivered %v, notice %q after %v", id, e.answered(id), n.Outcome, time.Since(began))
+	}
+}
+
+// Guards the ends of messages where the wall clock is stepped while the relay runs:
+// those taken on before the step, after it, and between two steps each have the time
+// that their clients gave them, neither more nor less.
+func TestEndsInTimeOverClockStep(t *testing.T) {
+	const left = 2 * time.Second
+	for _, by := range []time.Duration{400 * time.Second, 3 * time.Second, -3 * time.Second, time.Hour, -time.Hour} {
+		t.Run(by.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newSteppedRelay(t)
+			s.start()
+			s.put("before", "plain", left, 5)
+			s.put("out-before", "once", left, 2)
+			s.wall.Step(t, by)
+			s.put("after", "plain", left, 5)
+			s.put("out-after", "once", left, 2)
+			s.put("sent-after", "once", left, 1)
+			s.put("late-after", "plain", 2*left, 5)
+			s.delivered(s.quick, "sent-after")
+			for _, id := range []string{"before", "out-before", "after", "out-after"} {
+				s.endsAt(id, left, time.Time{})
+			}
+			s.wall.Step(t, -by)
+			s.put("back", "plain", left, 5)
+			s.endsAt("late-after", 2*left, time.Time{})
+			s.endsAt("back", left, time.Time{})
+			if !s.log.has("the wall clock was stepped") {
+				t.Error("the log does not tell of the step")
+			}
+		})
+	}
+}
+
+// Guards the same over a kill and a restart, with the clock stepped while the first
+// process runs, while none does, or both. Only real time counts.
+func TestRestartOverClockStep(t *testing.T) {
+	hour := time.Hour
+	for _, x := range []struct{ running, down time.Duration }{{0, hour}, {hour, 0}, {0, -hour}, {-hour, 0}, {hour, -hour}, {-hour, hour}, {3 * time.Second, 0}, {0, -3 * time.Second}} {
+		t.Run(fmt.Sprint("held/", x.running, " then ", x.down), func(t *testing.T) {
+			t.Parallel()
+			restartStepped(t, x.running, x.down)
+		})
+	}
+	for _, by := range []time.Duration{-hour, -1500 * time.Millisecond, 0, hour} {
+		t.Run(fmt.Sprint("window/", by), func(t *testing.T) {
+			t.Parallel()
+			windowStepped(t, by)
+		})
+	}
+}
+
+// restartStepped checks that what was never tried still is, that what may have run is
+// sent again within its window, and that what has little time ends when that is up.
+func restartStepped(t *testing.T, running, down time.Duration) {
+	const short = 4 * time.Second
+	s := newSteppedRelay(t)
+	s.start()
+	s.put("held-first", "plain", 20*time.Second, 5)
+	s.wall.Step(t, running)
+	s.put("held", "plain", 20*time.Second, 5)
+	s.put("keyed", "keyed", 20*time.Second, 2)
+	s.put("short", "plain", short, 6)
+	if t.Failed() {
+		return
+	}
+	waitFor(t, "the call", func() bool { return s.hung.count("keyed") == 1 })
+	s.child.kill()
+	s.wall.Step(t, down)
+	time.Sleep(600 * time.Millisecond) // as the platform has it
+	s.hung.then(nil)
+	s.list5()
+	s.start()
+	since := time.Now()
+	s.put("new", "plain", short, 6)
+	s.delivered(s.later, "held-first")
+	s.delivered(s.later, "held")
+	s.delivered(s.hung, "keyed")
+	s.endsAt("short", short, since)
+	s.endsAt("new", short, time.Time{})
+}
+
+// windowStepped checks that once the window for repeats is over by real time, what may
+// have run is not sent again.
+func windowStepped(t *testing.T, by time.Duration) {
+	s := newSteppedRelay(t)
+	editConfig(t, s.env, `"dedup_window_us":20000000,"group":"all","late_worth":0.3,"name":"keyed"`,
+		`"dedup_window_us":1000000,"group":"all","late_worth":0.3,"name":"keyed"`)
+	s.start()
+	s.put("keyed", "keyed", 20*time.Second, 2)
+	waitFor(t, "the call", func() bool { return s.hung.count("keyed") == 1 })
+	s.child.kill()
+	s.wall.Step(t, by)
+	time.Sleep(1500 * time.Millisecond) // longer than the window
+	s.hung.then(nil)
+	s.start()
+	s.put("mark", "plain", 20*time.Second, 1)
+	s.delivered(s.quick, "mark")
+	if n, ended := s.disc.Notice("keyed"); !ended || n.Outcome != discovery.GivenUp || s.hung.count("keyed") != 1 {
+		t.Errorf("%d calls, ended %v by %q", s.hung.count("keyed"), ended, n.Outcome)
+	}
+}
+
+// Guards an upgrade with the clock stepped between the starts of its two processes:
+// what the old one holds is the new one's with the time that it has left, and a told
+// wait that the old one hears of late binds the new one for as long as it was told.
+func TestUpgradeOverClockStep(t *testing.T) {
+	for _, by := range []time.Duration{2 * time.Hour, -2 * time.Hour} {
+		t.Run(by.String(), func(t *testing.T) {
+			wall := clocktest.New(t)
+			u := newUpgradeIn(t, wall.Env())
+			wall.Step(t, by)
+			u.beside()
+			avoided := u.new.figure(t, "app_members_unavailable")
+			u.tell.Store(true)
+			close(u.release)
+			waitFor(t, "the wait", func() bool { return u.new.figure(t, "app_members_unavailable") == avoided+2 })
+			u.put(u.kept, "next", fields("once", 20000, 2))
+			u.put(u.kept, "late", fields("once", 20000, 5))
+			u.put(u.kept, "mark", fields("once", 20000, 1))
+			u.delivered(u.quick, "mark")
+			u.show5()
+			u.delivered(u.later, "held", "late")
+			if n := u.slow.count("next"); n != 0 {
+				t.Errorf("%d calls against a told wait", n)
+			}
+			u.once("held", "late", "out", "keyed")
+		})
+	}
+}
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -70,7 +70,10 @@
 
 // newUpgrade runs the old process, with an unsafe and a keyed call out, a
 // message that was told to wait and one that nobody serves yet.
-func newUpgrade(t *testing.T) *upgrade {
+func newUpgrade(t *testing.T) *upgrade { return newUpgradeIn(t, nil) }
+
+// newUpgradeIn is the same with more in the environment of all processes.
+func newUpgradeIn(t *testing.T, more map[string]string) *upgrade {
 	u := &upgrade{t: t, release: make(chan struct{}), quick: newFakeEndpoint(t, nil), later: newFakeEndpoint(t, nil)}
 	u.slow = newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, _ int) {
 		u.entered.Add(1)
@@ -90,6 +93,7 @@
 	u.disc = discoverytest.New(t, u.quick.member("s-1", 1), u.slow.member("s-2", 2), u.waits.member("s-3", 3), u.slow.member("s-6", 6))
 	u.env = testConfig(t, u.disc, 3)
 	u.env["ROUTER_OPERATOR"] = loopback.Free()
+	maps.Copy(u.env, more)
 	u.old = startChild(t, u.env)
 	u.kept = dialClient(t, u.env["ROUTER_LISTEN"])
 	for id, f := range map[string]string{"out": fields("once", 20000, 2), "keyed": fields("keyed", 20000, 6),
