Give the log a time of its own that no step of the wall clock moves

Between processes and over upgrades the wall clock alone told how much time had passed. So each step became part of a deadline, a window or a told wait. Change: a deadline is counted from the moment at which the request came, by the process's monotonic clock. The log's time runs on with the machine's monotonic clock, which its mark now keeps beside the boot that it counts from (64 bytes, of which an older program reads 24); headers of files pair it with the wall clock, for a log that is moved. After a boot the wall clock tells, and where it was set back the windows count as over, as before. The policy's memory is taken over after the clocks are aligned, no longer before.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -195,7 +195,6 @@
 		return nil, fmt.Errorf("d: %q is no time in milliseconds", have["d"])
 	}
 	q.at, q.left = now, time.Duration(ms*float64(time.Millisecond))
-	q.rec.Deadline = now.Add(q.left).UnixMicro()
 	if q.rec.Dest, err = strconv.Atoi(have["dest"]); err != nil || q.rec.Dest < 0 || q.rec.Dest > 1<<16 {
 		return nil, fmt.Errorf("dest: %q is no destination", have["dest"])
 	}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -227,6 +227,7 @@
 	r := &Relay{cfg: cfg, log: quietLog(), policy: policy, in: mailbox.New[happening](), began: time.Now(), clocks: newClockWatch(), wal: w,
 		ctx: t.Context(), msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
 		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, idleConns: 2, fig: newFigures(cfg.Policy.Classes)}
+	r.alignLogTime()
 	t.Cleanup(func() { close(stop); <-w.Done() })
 	return r
 }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -115,48 +115,48 @@
 
 // Relay is one running relay.
 type Relay struct {
-	cfg       *Config
-	log       *slog.Logger
-	policy    *decide.Policy
-	in        *mailbox.Mailbox[happening]
-	wal       *wal.Log
-	spills    spills
-	resuming  bool  // messages that were owed at the start are still being read
-	setBack   bool  // the machine's clock was, since the log was written last: how long ago that was is not known
-	skew      int64 // µs by which the machine's clock was set back since the log was written last
-	failed    error // the log can keep nothing more: this process ends
-	notices   *discovery.Notices
-	began     time.Time
-	lastNum   uint32
-	lastEnd   decide.Endpoint
-	msgs      map[uint32]*message
-	ids       map[string]*message
-	waiting   map[*request]*message // whose clients have no answer yet
-	endpoints map[string]*endpoint
-	byNum     map[decide.Endpoint]*endpoint
-	members   members
-	events    []decide.Event
-	actions   []decide.Action
-	batches   []*batch      // of the step that is being carried out
-	timers    []decide.Time // that the policy asked for, earliest first: each one comes, as it counts on
-	held      int
-	calls     int
-	stopAt    time.Time
-	idleConns int
-	pool      pool      // the connections to all endpoints
-	idle      idleWatch // of all endpoints together
-	owner     owner
-	far       map[string]*message // whose calls another process has out
-	early     []happening         // that came before the loop ran
-	cl        *clients
-	ready     *atomic.Bool // as readyz says
-	fig       *figures
-	saysNo    bool        // the policy has this process refuse clients
-	shownAt   decide.Time // when the gauges were last published
-	clocks    clockWatch
-	overdue   overdue
-	lateNow   int // messages overdue when the gauges were last published
-	ctx       context.Context
+	cfg        *Config
+	log        *slog.Logger
+	policy     *decide.Policy
+	in         *mailbox.Mailbox[happening]
+	wal        *wal.Log
+	spills     spills
+	resuming   bool  // messages that were owed at the start are still being read
+	gapUnknown bool  // how long no process ran before this one
+	logOffset  int64 // µs from the policy's clock to the log's time
+	failed     error // the log can keep nothing more: this process ends
+	notices    *discovery.Notices
+	began      time.Time
+	lastNum    uint32
+	lastEnd    decide.Endpoint
+	msgs       map[uint32]*message
+	ids        map[string]*message
+	waiting    map[*request]*message // whose clients have no answer yet
+	endpoints  map[string]*endpoint
+	byNum      map[decide.Endpoint]*endpoint
+	members    members
+	events     []decide.Event
+	actions    []decide.Action
+	batches    []*batch      // of the step that is being carried out
+	timers     []decide.Time // that the policy asked for, earliest first: each one comes, as it counts on
+	held       int
+	calls      int
+	stopAt     time.Time
+	idleConns  int
+	pool       pool      // the connections to all endpoints
+	idle       idleWatch // of all endpoints together
+	owner      owner
+	far        map[string]*message // whose calls another process has out
+	early      []happening         // that came before the loop ran
+	cl         *clients
+	ready      *atomic.Bool // as readyz says
+	fig        *figures
+	saysNo     bool        // the policy has this process refuse clients
+	shownAt    decide.Time // when the gauges were last published
+	clocks     clockWatch
+	overdue    overdue
+	lateNow    int // messages overdue when the gauges were last published
+	ctx        context.Context
 }
 
 func (r *Relay) now() decide.Time { return clockStart + time.Since(r.began).Microseconds() }
@@ -169,12 +169,27 @@
 	return r.began.Add(time.Duration(t-clockStart) * time.Microsecond)
 }
 
-// wall turns a moment of the policy's clock into one of the log's.
-func (r *Relay) wall(t decide.Time) int64 {
-	return r.began.UnixMicro() + r.skew + t - clockStart
-}
+// logTime turns a moment of the policy's clock into one of the log's time, which
+// outlives the process.
+func (r *Relay) logTime(t decide.Time) int64 { return t + r.logOffset }
+
+func (r *Relay) fromLogTime(us int64) decide.Time { return us - r.logOffset }
+
+const (
+	alignWithin = decide.Time(1e3) // between two readings of the policy's clock round one of the log's
+	alignTries  = 100
+)
 
-func (r *Relay) fromWall(us int64) decide.Time { return us - r.began.UnixMicro() - r.skew + clockStart }
+// alignLogTime fits the policy's clock to the log's. Both run with real time.
+func (r *Relay) alignLogTime() {
+	for range alignTries {
+		before, logged := r.now(), r.wal.Time()
+		r.logOffset = logged - before
+		if r.now()-before < alignWithin {
+			return
+		}
+	}
+}
 
 // Run serves until stop is closed and the end is made, or something fails that
 // a relay cannot go on without. What moved gives is discovery's new address.
@@ -325,12 +340,12 @@
 		}
 		e := r.owedEvent(m)
 		e.Kept, e.Stays = true, stays
-		if r.setBack && rec.Doubt != 0 {
+		if r.gapUnknown && rec.Doubt != 0 {
 			e.DoubtAt = 1 // nobody knows how long ago: its window counts as over
 		}
 		if rec.Out != 0 {
 			m.far, r.far[rec.ID] = true, m
-			e.Out, e.OutAt = r.number(rec.OutTo), r.fromWall(rec.Out)
+			e.Out, e.OutAt = r.number(rec.OutTo), r.fromLogTime(rec.Out)
 		}
 		r.events = append(r.events, e)
 		r.log.Info("resumed", "message", rec.ID, "class", rec.Class, "tries", rec.Tries,
@@ -343,12 +358,12 @@
 func (r *Relay) owedEvent(m *message) decide.Event {
 	rec := m.rec
 	e := decide.Event{Kind: decide.EvMessage, Message: m.num, Class: m.class, Dest: rec.Dest, Tenant: -1,
-		Left: r.fromWall(rec.Deadline) - r.now(), Tries: rec.Tries, DoubtIn: rec.DoubtIn}
+		Left: r.fromLogTime(rec.Deadline) - r.now(), Tries: rec.Tries, DoubtIn: rec.DoubtIn}
 	if t, ok := r.cfg.tenants[rec.Tenant]; ok {
 		e.Tenant = t
 	}
 	if rec.Doubt != 0 {
-		e.DoubtAt = max(r.fromWall(rec.Doubt), 1)
+		e.DoubtAt = max(r.fromLogTime(rec.Doubt), 1)
 	}
 	m.due = r.overdue.add(r.now() + e.Left)
 	return e
@@ -586,7 +601,8 @@
 // admit shows a message to the policy. Whether it is taken on shows in the
 // step: what the policy ends there is refused with no further ado.
 func (r *Relay) admit(q *request) {
-	q.rec.Deadline += r.skew
+	end := r.at(q.at.Add(q.left))
+	q.rec.Deadline = r.logTime(end)
 	switch old := r.ids[q.rec.ID]; {
 	case r.owner.passed && old == nil && !q.owed:
 		r.takeOnFor(q)
@@ -607,10 +623,10 @@
 	}
 	m := r.newMessage(q.rec)
 	m.req, m.taken = q, q.at
-	m.due = r.overdue.add(r.at(q.at.Add(q.left)))
+	m.due = r.overdue.add(end)
 	r.waiting[q] = m
 	r.events = append(r.events, decide.Event{Kind: decide.EvMessage, Message: m.num, Class: q.class,
-		Dest: q.rec.Dest, Tenant: q.tenant, Left: r.fromWall(q.rec.Deadline) - r.now()})
+		Dest: q.rec.Dest, Tenant: q.tenant, Left: end - r.now()})
 }
 
 // said: the client has its answer, or left before it.
@@ -863,7 +879,7 @@
 func (r *Relay) takeOn(m *message) {
 	q := m.req
 	m.req, m.logged = nil, true
-	r.log.Debug("taken on", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "left_ms", (r.fromWall(m.rec.Deadline)-r.now())/1000)
+	r.log.Debug("taken on", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "left_ms", (r.fromLogTime(m.rec.Deadline)-r.now())/1000)
 	r.wal.Submit(m.rec, func(err error) {
 		if err != nil {
 			r.in.Put(happening{lost: q})
@@ -897,7 +913,7 @@
 	}
 	r.drop(m)
 	r.log.Info("ended", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "tries", m.tries,
-		"left_ms", (r.fromWall(m.rec.Deadline)-r.now())/1000, "age_ms", time.Since(m.taken).Milliseconds())
+		"left_ms", (r.fromLogTime(m.rec.Deadline)-r.now())/1000, "age_ms", time.Since(m.taken).Milliseconds())
 	if !m.heard {
 		m.ending = &wal.Record{Notice: word, RetryMS: ms}
 		return
@@ -1045,7 +1061,7 @@
 // sendOff has the attempts of a call logged. On the log's goroutine, once the
 // last of them is, the call is begun with those that could be.
 func (r *Relay) sendOff(c *call, limit time.Duration) {
-	addr, at := c.ep.hostPort, r.wall(r.now())
+	addr, at := c.ep.hostPort, r.logTime(r.now())
 	results := make([]outcome, len(c.parts))
 	var recs []*wal.Record // what could be logged, and so goes out
 	var place []int        // its place in the call
@@ -1130,7 +1146,7 @@
 	if r.owner.passed { // the policy that is to know is another's
 		rec.What, rec.Took, rec.Slots = uint8(o.what), o.took, o.slots
 		if o.wait > 0 {
-			rec.Wait = r.wall(r.now() + o.wait)
+			rec.Wait = r.logTime(r.now() + o.wait)
 		}
 	}
 	if !o.unsaved {
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -91,24 +91,21 @@
 	} else if f != nil {
 		r.log.Warn("what this folder held was moved: beginning empty", "to", f.To, "at", f.At)
 	}
-	w, err := wal.Open(wal.Options{Now: func() int64 { return r.wall(r.now()) }, Dir: r.cfg.State, Limit: int64(r.cfg.Limits.DiskMB) << 20, Promise: r.cfg.Promise, FS: r.cfg.FS, Log: r.log,
+	w, err := wal.Open(wal.Options{Dir: r.cfg.State, Limit: int64(r.cfg.Limits.DiskMB) << 20, Promise: r.cfg.Promise, FS: r.cfg.FS, Log: r.log,
 		Failed: func(err error) { r.in.Put(happening{failed: err}) }})
 	if err != nil {
 		return 0, err
 	}
 	r.wal, r.owner.side, r.owner.by, r.owner.walStop = w, w.Side, w.By, make(chan struct{})
 	r.far = map[string]*message{}
+	r.alignLogTime()
+	r.gapUnknown = w.Behind > 0 && w.Side == nil // where the process before lives on no time has passed unseen
+	if w.Behind > 0 {
+		r.log.Warn("the clock was set back while no process ran: how long that was is not known", "by", w.Behind)
+	}
 	if w.Memory != nil {
 		r.recall(w.Memory)
 	}
-	// A clock that was set back would put every deadline off, by hours maybe: time
-	// goes on from where the log left it.
-	back := w.Last - r.wall(r.now())
-	r.setBack = back > 0 && w.Side == nil // where the process before lives on no time has passed unseen
-	if back > 0 {
-		r.skew += back
-		r.log.Warn("the clock was set back since the log was written last", "by", time.Duration(back)*time.Microsecond)
-	}
 	owed = w.Owed()
 	for _, d := range w.Found.Damage {
 		r.fig.damaged.Add(1)
@@ -153,7 +150,7 @@
 // legacy is the body of the record that passes the log on.
 type legacy struct {
 	Now    decide.Time                // of the policy's clock
-	Wall   int64                      // the same moment
+	Wall   int64                      // the same moment by the log's time
 	IDs    map[decide.Endpoint]string // by the numbers in the memory
 	Memory decide.Memory
 }
@@ -175,7 +172,7 @@
 			eps[j].Endpoint = num
 		}
 	}
-	r.policy.Recall(l.Memory, r.fromWall(l.Wall)-l.Now)
+	r.policy.Recall(l.Memory, r.fromLogTime(l.Wall)-l.Now)
 	r.doubtAll()
 }
 
@@ -256,7 +253,7 @@
 
 func (r *Relay) legacy() legacy {
 	l := legacy{Now: r.now(), IDs: map[decide.Endpoint]string{}, Memory: r.policy.Memory()}
-	l.Wall = r.wall(l.Now)
+	l.Wall = r.logTime(l.Now)
 	for id, ep := range r.endpoints {
 		l.IDs[ep.num] = id
 	}
@@ -343,7 +340,7 @@
 	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: m.tries - 1, Outcome: decide.Outcome(rec.What), Slots: rec.Slots,
 		Settled: settled || m.over, Took: rec.Took}
 	if rec.Wait != 0 {
-		e.Wait = max(r.fromWall(rec.Wait)-r.now(), 1)
+		e.Wait = max(r.fromLogTime(rec.Wait)-r.now(), 1)
 	}
 	r.events = append(r.events, e)
 	r.doubtCell(m.rec.Dest)
--- a/internal/wal/core.go
+++ b/internal/wal/core.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+
+	"troutusher/internal/clock"
 )
 
 // Bounds of the folder.
@@ -34,6 +36,7 @@
 	sizes  map[string]int64
 	bytes  int64 // of all files, in whole blocks
 	mark   Marker
+	time   timeline
 	job    *job
 	begin  *Record // to be written before all else: this process's mark
 	failed error
@@ -63,8 +66,8 @@
 	if c.fs == nil {
 		c.fs = OS{}
 	}
-	if c.o.Now == nil {
-		c.o.Now = nowMicro
+	if c.o.Clock == nil {
+		c.o.Clock = clock.Read
 	}
 	if c.log == nil {
 		c.log = slog.New(slog.DiscardHandler)
@@ -160,8 +163,8 @@
 
 type noMark struct{}
 
-func (noMark) Store(uint64, uint64, int64) {}
-func (noMark) Close() error                { return nil }
+func (noMark) Store(Stamp)  {}
+func (noMark) Close() error { return nil }
 
 // recover books the folder, or the file of an older program.
 func (c *core) recover() error {
@@ -170,6 +173,7 @@
 		return err
 	}
 	c.state = s
+	c.time = newTimeline(c.o.Clock, s.known, s.last)
 	if err := c.fs.MakeDir(c.o.Dir); err != nil {
 		s.close()
 		return fmt.Errorf("log: %w", err)
@@ -337,10 +341,17 @@
 }
 
 func (c *core) headerOf(src *source) []byte {
-	src.owner, src.made = c.owner, nowMicro()
+	src.owner = c.owner
+	c.date(&src.header)
 	return src.header.encode()
 }
 
+// date puts the moment into a header, by the wall clock and by the log's time.
+func (c *core) date(h *header) {
+	now := c.o.Clock()
+	h.made, h.logged = now.Wall, c.time.at(now)
+}
+
 // create makes a file and writes its header.
 func (c *core) create(path string, h header) (*source, error) {
 	f, err := c.fs.Open(path, Create)
@@ -542,8 +553,9 @@
 		}
 		c.synced = c.seq
 	}
-	c.last = max(c.last, c.o.Now())
-	c.mark.Store(c.markID(), c.seq, c.last)
+	now := c.o.Clock()
+	c.last = max(c.last, c.time.at(now))
+	c.mark.Store(Stamp{ID: c.markID(), Seq: c.seq, At: c.last, Clock: now})
 	return n
 }
 
--- a/internal/wal/cutfs/cutfs.go
+++ b/internal/wal/cutfs/cutfs.go
@@ -7,7 +7,6 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"io"
 	"os"
 	"path/filepath"
@@ -238,30 +237,25 @@
 		if x, err = f.Open(name, wal.Create); err != nil {
 			return nil, err
 		}
-		if _, err := x.WriteAt(make([]byte, markSize), 0); err != nil {
+		if _, err := x.WriteAt(wal.Stamp{}.Bytes(), 0); err != nil {
 			return nil, err
 		}
 	}
 	return &mark{x.(*file)}, nil
 }
 
-const markSize = 24
-
 type mark struct{ f *file }
 
 // Store is wal.Marker's.
-func (m *mark) Store(id, seq uint64, at int64) {
+func (m *mark) Store(s wal.Stamp) {
 	if m.f.fs.before("mark", m.f.name) != nil {
 		return
 	}
 	m.f.fs.mu.Lock()
 	defer m.f.fs.mu.Unlock()
-	var b [markSize]byte
-	binary.NativeEndian.PutUint64(b[:], id)
-	binary.NativeEndian.PutUint64(b[8:], seq)
-	binary.NativeEndian.PutUint64(b[16:], uint64(at))
-	m.f.ino.data = b[:]
-	m.f.ino.writes = []*piece{m.f.fs.add(&piece{ino: m.f.ino, data: b[:]})}
+	b := s.Bytes()
+	m.f.ino.data = b
+	m.f.ino.writes = []*piece{m.f.fs.add(&piece{ino: m.f.ino, data: b})}
 }
 
 func (m *mark) Close() error { return nil }
--- a/internal/wal/folder.go
+++ b/internal/wal/folder.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"troutusher/internal/clock"
 )
 
 const (
@@ -94,11 +96,11 @@
 			segs = append(segs, src)
 		}
 	}
-	id, mark, at := readMark(fs, filepath.Join(dir, markName))
-	owner, known := vote(append(slices.Clone(segs), ckps...), uint32(id))
+	mark := readMark(fs, filepath.Join(dir, markName))
+	owner, known := vote(append(slices.Clone(segs), ckps...), uint32(mark.ID))
 	var odd []Damage
-	if !known && id>>32 == 1 { // no header can be read: the mark tells whose records these are
-		binary.BigEndian.PutUint32(owner[:4], uint32(id))
+	if !known && mark.ID>>32 == 1 { // no header can be read: the mark tells whose records these are
+		binary.BigEndian.PutUint32(owner[:4], uint32(mark.ID))
 		known = true
 	}
 	salt := saltOf(owner)
@@ -114,8 +116,8 @@
 		})
 	}
 	segs, ckps = ours(segs), ours(ckps)
-	if uint32(id) != salt || !known {
-		mark, at = 0, 0
+	if uint32(mark.ID) != salt || !known {
+		mark = Stamp{}
 	}
 	slices.SortStableFunc(segs, func(a, b *source) int { return int(int64(a.num) - int64(b.num)) })
 	slices.SortStableFunc(ckps, func(a, b *source) int { return int(int64(b.num) - int64(a.num)) }) // the newest first
@@ -127,7 +129,7 @@
 	}
 	var s *state
 	for _, base := range bases {
-		x, whole := bookFolder(fs, base, segs, owner, mark)
+		x, whole := bookFolder(fs, base, segs, owner, mark.Seq)
 		x.report.Damage = append(x.report.Damage, odd...)
 		if s == nil || len(x.report.Damage) < len(s.report.Damage) {
 			s = x
@@ -137,7 +139,8 @@
 		}
 	}
 	s.owner, s.salt, s.nextNum = owner, salt, max(top+1, s.nextNum)
-	s.last = max(s.last, at)
+	s.last = max(s.last, mark.At)
+	s.known = anchorOf(mark, append(slices.Clone(segs), ckps...))
 	if !known {
 		s.owner = [16]byte{}
 	}
@@ -274,5 +277,22 @@
 	return s, nil
 }
 
+// anchorOf gives the newest moment of which a reading is known: the mark's or, where a
+// log came here without it, that at which a file was made.
+func anchorOf(mark Stamp, files []*source) (a anchor) {
+	switch {
+	case mark.Clock != (clock.Reading{}):
+		return anchor{mark.At, mark.Clock}
+	case mark != Stamp{}:
+		return a // of an older program, whose time was the wall clock's
+	}
+	for _, src := range files {
+		if src.sound > 0 && src.logged > a.at {
+			a = anchor{src.logged, clock.Reading{Wall: src.made}}
+		}
+	}
+	return a
+}
+
 // markID is what the mark says of its owner.
 func (s *state) markID() uint64 { return uint64(s.salt) | 1<<32 }
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"unsafe"
+
+	"troutusher/internal/clock"
 )
 
 // FS is the few calls that the log needs of a file system. Errors are those of
@@ -46,14 +48,68 @@
 	Close() error
 }
 
-// Marker keeps two numbers over the end of the process, at no cost to speak of:
-// that of the last record, and when it was booked (Unix microseconds). The id
-// says whose they are.
+// Marker keeps a stamp over the end of the process, at no cost to speak of.
 type Marker interface {
-	Store(id, seq uint64, at int64)
+	Store(Stamp)
 	Close() error
 }
 
+// Stamp is what stands beside the log: whose it is, its last record's number, and when
+// that was booked.
+type Stamp struct {
+	ID, Seq uint64
+	At      int64         // log's time, in microseconds
+	Clock   clock.Reading // the same moment by the machine's clocks
+}
+
+// Words of a stamp in its file, each of eight bytes in the machine's order. A program
+// from before there were readings of clocks writes the first three alone; that the
+// readings are of the same moment shows by the last word.
+const (
+	stampID = iota
+	stampSeq
+	stampAt
+	stampWall
+	stampMono
+	stampBoot
+	stampBootRest
+	stampAtAgain
+	stampWords
+
+	stampOld  = 8 * stampWall // bytes, of an older program
+	stampSize = 8 * stampWords
+)
+
+// words gives a stamp's words.
+func (s Stamp) words() (w [stampWords]uint64) {
+	boot := s.Clock.Boot
+	return [stampWords]uint64{stampID: s.ID, stampSeq: s.Seq, stampAt: uint64(s.At), stampWall: uint64(s.Clock.Wall), stampMono: uint64(s.Clock.Mono),
+		stampBoot: binary.NativeEndian.Uint64(boot[:8]), stampBootRest: binary.NativeEndian.Uint64(boot[8:]), stampAtAgain: uint64(s.At)}
+}
+
+// Bytes is a stamp as it stands in its file.
+func (s Stamp) Bytes() []byte {
+	var b []byte
+	for _, w := range s.words() {
+		b = binary.NativeEndian.AppendUint64(b, w)
+	}
+	return b
+}
+
+// parseStamp reads what Bytes gives, or its beginning as an older program writes it.
+func parseStamp(b []byte) (s Stamp) {
+	if len(b) < stampOld {
+		return s
+	}
+	word := func(i int) uint64 { return binary.NativeEndian.Uint64(b[8*i:]) }
+	s = Stamp{ID: word(stampID), Seq: word(stampSeq), At: int64(word(stampAt))}
+	if len(b) >= stampSize && word(stampAtAgain) == word(stampAt) {
+		s.Clock.Wall, s.Clock.Mono = int64(word(stampWall)), int64(word(stampMono))
+		copy(s.Clock.Boot[:], b[8*stampBoot:8*stampAtAgain])
+	}
+	return s
+}
+
 // OS is the machine's own file system.
 type OS struct{}
 
@@ -130,8 +186,6 @@
 	return f.Sync()
 }
 
-const markSize = 24
-
 // osMark is a page that the kernel keeps: a store costs no call.
 type osMark struct{ page []byte }
 
@@ -144,40 +198,38 @@
 	}
 	defer f.Close()
 	info, err := f.Stat()
-	if err == nil && info.Size() < markSize {
-		_, err = f.WriteAt(make([]byte, markSize-info.Size()), info.Size())
+	if err == nil && info.Size() < stampSize {
+		_, err = f.WriteAt(make([]byte, stampSize-info.Size()), info.Size())
 	}
 	if err != nil {
 		return nil, err
 	}
-	page, err := syscall.Mmap(int(f.Fd()), 0, markSize, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
+	page, err := syscall.Mmap(int(f.Fd()), 0, stampSize, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
 	if err != nil {
 		return nil, fmt.Errorf("mark: %w", err)
 	}
 	return &osMark{page}, nil
 }
 
-func (m *osMark) word(i int) *uint64 { return (*uint64)(unsafe.Pointer(&m.page[8*i])) }
-
-// Store puts the numbers first: with another's id beside them, they say nothing.
-func (m *osMark) Store(id, seq uint64, at int64) {
-	atomic.StoreUint64(m.word(2), uint64(at))
-	atomic.StoreUint64(m.word(1), seq)
-	atomic.StoreUint64(m.word(0), id)
+// Store puts the id last of the first three words, since with another's id beside them
+// they say nothing, and the moment's second copy last of all.
+func (m *osMark) Store(s Stamp) {
+	words := s.words()
+	for _, i := range [...]int{stampAt, stampSeq, stampID, stampWall, stampMono, stampBoot, stampBootRest, stampAtAgain} {
+		atomic.StoreUint64((*uint64)(unsafe.Pointer(&m.page[8*i])), words[i])
+	}
 }
 
 func (m *osMark) Close() error { return syscall.Munmap(m.page) }
 
 // readMark is a mark as it stands, without making or mapping it.
-func readMark(fs FS, name string) (id, seq uint64, at int64) {
+func readMark(fs FS, name string) Stamp {
 	f, err := fs.Open(name, Read)
 	if err != nil {
-		return 0, 0, 0
+		return Stamp{}
 	}
 	defer f.Close()
-	var b [markSize]byte
-	if n, _ := f.ReadAt(b[:], 0); n < markSize {
-		return 0, 0, 0
-	}
-	return binary.NativeEndian.Uint64(b[:8]), binary.NativeEndian.Uint64(b[8:16]), int64(binary.NativeEndian.Uint64(b[16:]))
+	b := make([]byte, stampSize)
+	n, _ := f.ReadAt(b, 0) // a shorter one is an older program's
+	return parseStamp(b[:n])
 }
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"troutusher/internal/mailbox"
 )
@@ -29,7 +30,10 @@
 	By     int    // this process, among those that opened the log
 	Memory []byte // of the policy of the process that passed the log on; nil where none did
 	Found  Report
-	Last   int64 // when anything was booked last: a clock that is behind it was set back
+	// Behind is by how much the wall clock lay behind the log at the start, where
+	// nothing but that clock could tell how long no process ran: it was set back, and
+	// how long that was is not known. Else 0.
+	Behind time.Duration
 }
 
 // Open recovers what a folder holds and makes it ready. The caller holds the
@@ -41,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Log{c: c, in: mailbox.New[op](), done: make(chan struct{}), Side: side, By: c.by, Memory: c.known, Found: c.report, Last: c.last}
+	l := &Log{c: c, in: mailbox.New[op](), done: make(chan struct{}), Side: side, By: c.by, Memory: c.known, Found: c.report, Behind: c.time.behind}
 	l.order = make([]uint32, 0, c.idx.live)
 	for i := range c.idx.used {
 		if c.idx.at(i).flags&entryLive != 0 {
@@ -58,6 +62,11 @@
 	return l, nil
 }
 
+// Time is the time by which records are stamped, in microseconds. It runs on with real
+// time, and over the ends of processes, however the wall clock is set. Any goroutine
+// may ask, also after a Pass.
+func (l *Log) Time() int64 { return l.c.time.now() }
+
 // Owed is how many messages were owed at the start and were not read yet. Before
 // Run, and on the log's goroutine.
 func (l *Log) Owed() int { return len(l.order) }
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
-	"time"
 )
 
 // The form of a file. It begins with two copies of its header, so that one
@@ -51,7 +50,8 @@
 	first   uint64 // sequence number of its first record; of a checkpoint, the first that it does not cover
 	owner   [16]byte
 	by      uint32
-	made    int64 // Unix microseconds
+	made    int64 // when, by the wall clock: Unix microseconds
+	logged  int64 // the same moment by the log's time; 0 where an older program made it
 }
 
 func (h *header) encode() []byte {
@@ -67,6 +67,7 @@
 	copy(b[24:40], h.owner[:])
 	binary.BigEndian.PutUint32(b[40:], h.by)
 	binary.BigEndian.PutUint64(b[44:], uint64(h.made))
+	binary.BigEndian.PutUint64(b[52:], uint64(h.logged))
 	sum(b)
 	return append(b, b...)
 }
@@ -83,7 +84,8 @@
 		}
 		if sound++; sound == 1 {
 			h = header{version: binary.BigEndian.Uint16(c[8:]), kind: fileKind(c[10]), power: c[11] == 1, num: binary.BigEndian.Uint32(c[12:]),
-				first: binary.BigEndian.Uint64(c[16:]), by: binary.BigEndian.Uint32(c[40:]), made: int64(binary.BigEndian.Uint64(c[44:]))}
+				first: binary.BigEndian.Uint64(c[16:]), by: binary.BigEndian.Uint32(c[40:]), made: int64(binary.BigEndian.Uint64(c[44:])),
+				logged: int64(binary.BigEndian.Uint64(c[52:]))}
 			copy(h.owner[:], c[24:40])
 		}
 	}
@@ -290,5 +292,3 @@
 	r.Body = bytes.Clone(c.b)
 	return !c.bad
 }
-
-func nowMicro() int64 { return time.Now().UnixMicro() }
--- a/internal/wal/side.go
+++ b/internal/wal/side.go
@@ -58,7 +58,8 @@
 		return errors.New("locked by another")
 	}
 	w := &sideWriter{f: f, room: room, salt: c.salt, size: headerSize}
-	h := header{kind: sideFile, owner: c.owner, by: uint32(c.by), first: 1, made: nowMicro()}
+	h := header{kind: sideFile, owner: c.owner, by: uint32(c.by), first: 1}
+	c.date(&h)
 	if _, err := f.WriteAt(h.encode(), 0); err != nil {
 		return err
 	}
--- a/internal/wal/state.go
+++ b/internal/wal/state.go
@@ -28,7 +28,8 @@
 	salt    uint32
 	seq     uint64 // of the last record
 	by      int
-	last    int64  // when anything was booked last, as far as is known: Unix microseconds
+	last    int64  // when anything was booked last, as far as is known: log's time
+	known   anchor // the newest moment of which a reading of the clocks is known
 	side    int64  // so much of the side log is in here
 	memory  []byte // of the policy of the process that passed the log on
 	owed    int64  // bytes that a checkpoint needs at most
--- /dev/null
+++ b/internal/wal/timeline_test.go
@@ -0,0 +1,148 @@
+package wal_test
+
+import (
+	"encoding/binary"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"troutusher/internal/clock"
+	"troutusher/internal/wal"
+)
+
+// machineClock is the clocks of a machine that a test boots and whose wall clock it steps.
+type machineClock struct {
+	boot  byte
+	shift time.Duration // of the wall clock
+	mono  time.Duration // of the monotonic one, since the boot
+	slept time.Duration // that no clock of this process shows
+}
+
+func (m *machineClock) read() clock.Reading {
+	r := clock.Read()
+	r.Wall += (m.shift + m.slept).Microseconds()
+	r.Mono += (m.mono + m.slept).Microseconds()
+	r.Boot = clock.Boot{m.boot}
+	return r
+}
+
+// lived opens a log, has it book one message, and gives the log's time at its end.
+func lived(t *testing.T, dir, id string, m *machineClock) (began, ended int64, behind time.Duration) {
+	t.Helper()
+	l, err := wal.Open(wal.Options{Dir: dir, Limit: 3 << 20, Clock: m.read})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Shut()
+	began = l.Time()
+	if err := l.AppendNow(&wal.Record{Kind: wal.Taken, ID: id, Class: "plain", Deadline: began + 20e6}); err != nil {
+		t.Fatal(err)
+	}
+	return began, l.Time(), l.Behind
+}
+
+// The log's time runs on with real time over the ends of processes and over boots,
+// wherever the wall clock is set; only where it was set back over a boot is it not known
+// how long no process ran, and the log's time stands still for that long.
+func TestLogTime(t *testing.T) {
+	const gap, slack = time.Minute, int64(5e6)
+	for _, x := range []struct {
+		what   string
+		then   func(m *machineClock)
+		passed time.Duration
+		behind time.Duration
+	}{
+		{"nothing", func(m *machineClock) {}, gap, 0},
+		{"stepped forward", func(m *machineClock) { m.shift = time.Hour }, gap, 0},
+		{"stepped back", func(m *machineClock) { m.shift = -time.Hour }, gap, 0},
+		{"stepped back by less than has passed", func(m *machineClock) { m.shift = -gap / 2 }, gap, 0},
+		{"booted", func(m *machineClock) { m.boot, m.mono = 2, -time.Hour }, gap, 0},
+		{"booted and set back", func(m *machineClock) { m.boot, m.shift = 2, -time.Hour }, 0, time.Hour - gap},
+	} {
+		for _, running := range []time.Duration{0, time.Hour, -time.Hour} {
+			dir, m := t.TempDir(), &machineClock{boot: 1}
+			lived(t, dir, "first", m)
+			m.shift += running
+			_, ended, _ := lived(t, dir, "second", m)
+			before := m.shift
+			m.shift = 0
+			x.then(m)
+			m.shift += before
+			m.slept += gap
+			began, _, behind := lived(t, dir, "third", m)
+			if off := began - ended - x.passed.Microseconds(); off < 0 || off > slack {
+				t.Errorf("%s, stepped by %v before: %d µs have passed, want %d", x.what, running, began-ended, x.passed.Microseconds())
+			}
+			if off := (behind - x.behind).Abs(); off > time.Duration(slack)*time.Microsecond || (behind > 0) != (x.behind > 0) {
+				t.Errorf("%s, stepped by %v before: behind by %v, want %v", x.what, running, behind, x.behind)
+			}
+		}
+	}
+}
+
+// A log whose time is not the wall clock's any more is moved to another machine: its
+// messages have the time left that they had.
+func TestLogTimeMoves(t *testing.T) {
+	for _, shift := range []time.Duration{0, time.Hour, -time.Hour} {
+		from, to, file := t.TempDir(), t.TempDir(), filepath.Join(t.TempDir(), "moved")
+		m := &machineClock{shift: shift}
+		l, err := wal.Open(wal.Options{Dir: from, Limit: 3 << 20, Clock: func() clock.Reading {
+			r := clock.Read() // of this boot, which Export finds as well
+			r.Wall += m.shift.Microseconds()
+			return r
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.AppendNow(&wal.Record{Kind: wal.Taken, ID: "m", Class: "plain", Deadline: l.Time() + 20e6}); err != nil {
+			t.Fatal(err)
+		}
+		l.Shut()
+		if _, err := wal.Export(from, file, 3<<20); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := wal.Import(file, to); err != nil {
+			t.Fatal(err)
+		}
+		l, err = wal.Open(wal.Options{Dir: to, Limit: 3 << 20, Clock: (&machineClock{boot: 9}).read})
+		if err != nil {
+			t.Fatal(err)
+		}
+		recs := l.Next(1)
+		if len(recs) != 1 {
+			t.Fatalf("%d messages", len(recs))
+		}
+		if left := recs[0].Deadline - l.Time(); left < 15e6 || left > 20e6 {
+			t.Errorf("clock off by %v: %d µs are left of 20 s", shift, left)
+		}
+		l.Shut()
+	}
+}
+
+// The mark of an older program has no reading of the clocks, nor is one good that an
+// older program has written over: the wall clock tells then, as it did.
+func TestLogTimeOfOlderProgram(t *testing.T) {
+	for _, cut := range []bool{true, false} {
+		dir, m := t.TempDir(), &machineClock{boot: 1}
+		_, ended, _ := lived(t, dir, "first", m)
+		path := filepath.Join(dir, wal.Name, "mark")
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if cut {
+			text = text[:24]
+		} else { // it ran for another while, by the wall clock
+			binary.NativeEndian.PutUint64(text[16:], uint64(ended+time.Second.Microseconds()))
+		}
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		m.shift = time.Hour
+		began, _, behind := lived(t, dir, "second", m)
+		if off := began - ended - time.Hour.Microseconds(); off < 0 || off > 5e6 || behind != 0 {
+			t.Errorf("cut %v: %d µs have passed, behind by %v", cut, began-ended, behind)
+		}
+	}
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -14,6 +14,8 @@
 import (
 	"errors"
 	"log/slog"
+
+	"troutusher/internal/clock"
 )
 
 // Names in the state folder. Two processes may share it during an upgrade.
@@ -52,7 +54,7 @@
 	total Kind = "total" // the last of a checkpoint: how many it holds
 )
 
-// Record is one entry of the log. Times are Unix microseconds.
+// Record is one entry of the log. Times are the log's, in microseconds: see Log.Time.
 type Record struct {
 	Kind     Kind   `json:"kind"`
 	ID       string `json:"id"`
@@ -131,8 +133,8 @@
 	Promise Promise
 	FS      FS // nil for the machine's own
 	Log     *slog.Logger
-	Now     func() int64 // Unix microseconds, as the records have it; nil for the machine's clock
-	Failed  func(error)  // told once, on the log's goroutine, that nothing more can be written
+	Clock   func() clock.Reading // nil for the machine's clocks
+	Failed  func(error)          // told once, on the log's goroutine, that nothing more can be written
 }
 
 // Damage is a stretch that could not be read, and what came of it.
