--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -235,6 +235,7 @@
 	// A client that has waited for so long has given up and hands its message in
 	// elsewhere: the message is not taken on here.
 	givenUp time.Duration
+	accept4 func(fd, flags int) (int, syscall.Sockaddr, error) // the system call; tests have it fail
 
 	mu      sync.Mutex
 	conns   map[*clientConn]bool
@@ -271,7 +272,7 @@
 
 func newClients(cfg *Config, log *slog.Logger, put func(*request), said func(*request, bool)) *clients {
 	most, _ := cfg.budget()
-	return &clients{cfg: cfg, log: log, put: put, said: said, most: most, patience: wholeWait, givenUp: lateWait, conns: map[*clientConn]bool{},
+	return &clients{cfg: cfg, log: log, put: put, said: said, most: most, patience: wholeWait, givenUp: lateWait, accept4: syscall.Accept4, conns: map[*clientConn]bool{},
 		freed: make(chan struct{}, 1)}
 }
 
@@ -329,7 +330,7 @@
 	}
 	raw.Control(func(fd uintptr) {
 		for {
-			got, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			got, _, err := c.accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 			switch {
 			case errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED):
 				continue
