--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -254,6 +254,7 @@
 	idle time.Time
 	left bool // released: it ends with the answer to what had begun by then
 	over bool // nothing more that comes on it is taken on
+	gone bool // its client has left, or ended its sending; its answer may still be wanted
 }
 
 // release ends the wait for a next request. A connection is closed only so:
@@ -321,6 +322,13 @@
 // there: the kernel turns back what is never accepted.
 func (c *clients) stopListening(ln *net.TCPListener) { ln.SetDeadline(time.Unix(1, 0)) }
 
+// Bounds of the sweep, whose listener closes behind it.
+const (
+	sweepPause = 5 * time.Millisecond   // while the machine is out of something
+	sweepMost  = 500 * time.Millisecond // that such pauses may add up to
+	sweepFails = 10000                  // errors of single connections: more than wait at any listener
+)
+
 // sweep accepts what waits, with no wait for more.
 func (c *clients) sweep(ln *net.TCPListener) {
 	raw, err := ln.SyscallConn()
@@ -329,26 +337,46 @@
 		return
 	}
 	raw.Control(func(fd uintptr) {
-		for {
-			got, _, err := c.accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		for paused, fails := time.Duration(0), 0; ; {
+			err := c.acceptOne(int(fd))
 			switch {
-			case errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED):
-				continue
-			case err != nil: // EAGAIN: nothing waits any more
+			case err == nil:
+			case isAcceptError(err) && fails < sweepFails:
+				fails++
+			case errors.Is(err, syscall.EAGAIN): // nothing waits any more
+				return
+			case isShortage(err) && paused < sweepMost:
+				paused += sweepPause
+				time.Sleep(sweepPause)
+			default:
+				c.log.Error("clients: sweep", "err", err)
 				return
 			}
-			f := os.NewFile(uintptr(got), "client")
-			conn, err := net.FileConn(f)
-			f.Close()
-			if err != nil {
-				c.log.Warn("clients: sweep", "err", err)
-				continue
-			}
-			c.welcome(conn)
 		}
 	})
 }
 
+// acceptOne takes in one connection that waits.
+func (c *clients) acceptOne(fd int) error {
+	got, _, err := c.accept4(fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	if err != nil {
+		return err
+	}
+	f := os.NewFile(uintptr(got), "client")
+	defer f.Close()
+	conn, err := net.FileConn(f)
+	for tries := 0; err != nil && isShortage(err) && tries < int(sweepMost/sweepPause); tries++ { // it takes a second descriptor for a moment
+		time.Sleep(sweepPause)
+		conn, err = net.FileConn(f)
+	}
+	if err != nil {
+		c.log.Warn("clients: sweep", "err", err)
+		return nil
+	}
+	c.welcome(conn)
+	return nil
+}
+
 // welcome begins to talk on a new connection. One that there is no room for is
 // shut unread.
 func (c *clients) welcome(conn net.Conn) {
@@ -543,6 +571,22 @@
 	return c.refused
 }
 
+// ended books why the reader ends. That its wait is over says nothing of the client.
+func (c *clients) ended(cc *clientConn, err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc.gone = true
+}
+
+func (c *clients) isGone(cc *clientConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cc.gone
+}
+
 // begin marks a request whose first byte has come.
 func (c *clients) begin(cc *clientConn) {
 	c.mu.Lock()
@@ -587,7 +631,10 @@
 		return 0
 	}
 	raw.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), b, flags|syscall.MSG_DONTWAIT)
+		err := error(syscall.EINTR)
+		for errors.Is(err, syscall.EINTR) {
+			n, _, err = syscall.Recvfrom(int(fd), b, flags|syscall.MSG_DONTWAIT)
+		}
 	})
 	return n
 }
@@ -671,12 +718,14 @@
 					c.hear(cc)
 					continue
 				}
+				c.ended(cc, err)
 				return
 			}
 			c.begin(cc)
 			args, err := readCommand(in)
 			c.read(cc)
 			if err != nil && (errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, new(net.Error))) {
+				c.ended(cc, err)
 				return // nobody is there to be told
 			}
 			select {
@@ -742,11 +791,13 @@
 	select {
 	case reply = <-q.reply:
 	case next, open := <-commands:
-		if !open { // gone before its answer
+		switch {
+		case open:
+			ahead = &next
+		case c.isGone(cc): // before its answer: where it only ended its sending, it hears that this is harmless
 			c.said(q, false)
-			return false, nil
+			return c.write(cc, busy(0)), nil
 		}
-		ahead = &next
 		reply = <-q.reply
 	}
 	if reply == replyOK && time.Since(cmd.at) >= c.givenUp {
