--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strconv"
+	"syscall"
 
 	"troutusher/decide"
 	"troutusher/internal/discovery"
@@ -25,6 +26,9 @@
 	DiskMB   int     `json:"disk_mb"`
 }
 
+// ConnectHook is called before each connect to an endpoint; its error is the connect's.
+type ConnectHook func(network, address string, conn syscall.RawConn) error
+
 // Config is everything that a relay is told before it starts.
 type Config struct {
 	Name      string
@@ -38,6 +42,7 @@
 	Policy    decide.Settings
 	Promise   wal.Promise // what a message that was taken on outlives
 	FS        wal.FS      // of the log; nil for the machine's own
+	Connect   ConnectHook // nil for none
 	zones     map[string]int
 	kinds     map[string]int
 	classes   map[string]int
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -63,14 +63,14 @@
 }
 
 // reuse has the endpoint's connections stand idle for no longer than this.
-func (ep *endpoint) reuse(set *decide.Settings, idle int, limit time.Duration) {
+func (ep *endpoint) reuse(cfg *Config, idle int, limit time.Duration) {
 	if ep.conns != nil && ep.conns.IdleConnTimeout == limit {
 		return
 	}
 	if ep.conns != nil { // calls that are out on them go on
 		ep.conns.CloseIdleConnections()
 	}
-	ep.conns = newConns(set, idle, limit)
+	ep.conns = newConns(cfg, idle, limit)
 }
 
 // keepIdle is how long a connection may stand idle by the settings. A request
@@ -99,9 +99,9 @@
 
 // newConns makes the connections of one endpoint. Each endpoint has its own,
 // so that its idle ones can be given back alone.
-func newConns(set *decide.Settings, idle int, limit time.Duration) *http.Transport {
-	connect := time.Duration(set.ConnectTimeout) * time.Microsecond
-	dialer := &net.Dialer{Timeout: connect, KeepAlive: -1}
+func newConns(cfg *Config, idle int, limit time.Duration) *http.Transport {
+	connect := time.Duration(cfg.Policy.ConnectTimeout) * time.Microsecond
+	dialer := &net.Dialer{Timeout: connect, KeepAlive: -1, Control: cfg.Connect}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -40,8 +40,8 @@
 }
 
 func testConns(t *testing.T, idle int) *http.Transport {
-	set := &testSet(t).Policy
-	return newConns(set, idle, keepIdle(set))
+	cfg := testSet(t)
+	return newConns(cfg, idle, keepIdle(&cfg.Policy))
 }
 
 const testLimit = 20 * time.Second
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -44,6 +44,9 @@
 		log.Error("child", "err", err)
 		os.Exit(2)
 	}
+	if path := os.Getenv(diskFaultEnv); path != "" {
+		cfg.FS = newFaultyDisk(path)
+	}
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	if err := Run(cfg, log, ctx.Done(), Moves(hup, os.Getenv, log)); err != nil {
 		log.Error("child", "err", err)
@@ -211,14 +214,17 @@
 
 // newTestRelay is a relay with its log but with no socket and no loop: a test
 // takes the loop's place.
-func newTestRelay(t *testing.T) *Relay {
+func newTestRelay(t *testing.T) *Relay { return newTestRelayOn(t, nil) }
+
+// newTestRelayOn is the same with a file system of its own for the log.
+func newTestRelayOn(t *testing.T, fs wal.FS) *Relay {
 	t.Helper()
 	cfg := testSet(t)
 	policy, err := decide.New(cfg.Policy, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w, err := wal.Open(wal.Options{Dir: t.TempDir(), Limit: 3 << 20, Log: quietLog()})
+	w, err := wal.Open(wal.Options{Dir: t.TempDir(), Limit: 3 << 20, FS: fs, Log: quietLog()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/idle_test.go
+++ b/internal/relay/idle_test.go
@@ -69,14 +69,14 @@
 // Guards that the limit reaches the connections, and that what it closes is
 // closed for good: the transport is replaced only when the limit changes.
 func TestReuseFollowsLimit(t *testing.T) {
-	set := &testSet(t).Policy
+	cfg := testSet(t)
 	ep := &endpoint{}
-	ep.reuse(set, 2, time.Second)
+	ep.reuse(cfg, 2, time.Second)
 	first := ep.conns
-	if ep.reuse(set, 2, time.Second); ep.conns != first {
+	if ep.reuse(cfg, 2, time.Second); ep.conns != first {
 		t.Error("replaced with no change")
 	}
-	if ep.reuse(set, 2, 128*time.Millisecond); ep.conns == first || ep.conns.IdleConnTimeout != 128*time.Millisecond {
+	if ep.reuse(cfg, 2, 128*time.Millisecond); ep.conns == first || ep.conns.IdleConnTimeout != 128*time.Millisecond {
 		t.Errorf("idle for %v at most, want 128ms", ep.conns.IdleConnTimeout)
 	}
 }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -752,7 +752,7 @@
 	if x.Phase != discovery.Removed && (ep.hostPort != x.HostPort || ep.cell != x.Cell) {
 		// It moved under its old name: nothing more goes to the old place.
 		r.leave(ep)
-		ep.conns = newConns(&r.cfg.Policy, r.idleConns, keepIdle(&r.cfg.Policy))
+		ep.conns = newConns(r.cfg, r.idleConns, keepIdle(&r.cfg.Policy))
 		ep.hostPort = x.HostPort
 		r.setCell(ep, x.Cell)
 	}
@@ -1027,7 +1027,7 @@
 	ep, now := b.ep, r.now()
 	ctx, stop := context.WithCancelCause(r.ctx)
 	keep := keepIdle(&r.cfg.Policy)
-	ep.reuse(&r.cfg.Policy, r.idleConns, min(ep.idle.limit(keep, now), r.idle.limit(keep, now)))
+	ep.reuse(r.cfg, r.idleConns, min(ep.idle.limit(keep, now), r.idle.limit(keep, now)))
 	c := &call{ep: ep, conns: ep.conns, ctx: ctx, stop: stop}
 	limit := decide.Time(0)
 	for _, s := range slices.Clone(b.sends) {
