Keep what is owed while the disk takes nothing

Reason: an attempt that the log could not take was given back to the policy as a failed call, at once and with its try used up: eight failures later, within a second, the message was handed back with no call made. Outcomes and ends that could not be written were forgotten, so that the next process went on with messages that were over. The first error of a disk ended a start. The log keeps what has happened and writes it first, in order, as soon as it can; nothing comes ahead of it. Nothing is written behind a torn end that could not be cut off.

--- a/decide/api.go
+++ b/decide/api.go
@@ -223,6 +223,7 @@
 	Outcome  Outcome
 	Settled  bool // EvOutcome: nothing more is owed for the message
 	Slots    bool // EvOutcome, NotSent: all slots were taken
+	Unmade   bool // EvOutcome, NotSent: this machine could not make the call; it was no try
 	Attempt  int
 	Class    int
 	Dest     int
--- a/decide/containers.go
+++ b/decide/containers.go
@@ -48,6 +48,14 @@
 func (c *counter) request(now Time) { c.add(now, 0) }
 func (c *counter) accept(now Time)  { c.add(now, 1) }
 
+// withdraw takes back a request that was counted a moment ago.
+func (c *counter) withdraw(now Time) {
+	if b := c.roll(now); b[0] >= 1 {
+		b[0]--
+		c.sum[0]--
+	}
+}
+
 func (c *counter) totals(now Time) (requests, accepts float64) {
 	c.roll(now)
 	return c.sum[0], c.sum[1]
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -448,7 +448,9 @@
 		}
 	}
 	p.touch(c.ep.lane.dest)
-	if !c.noted { // the messages of a call share one fate, and count once
+	if e.Unmade {
+		p.unmade(m, c)
+	} else if !c.noted { // the messages of a call share one fate, and count once
 		c.noted = true
 		p.observe(c, e)
 	}
@@ -465,7 +467,9 @@
 	if !e.Outcome.NeverRan() && e.Outcome != Delivered && m.doubtAt == 0 {
 		p.doubt(m, c.sent, c.ep.zone)
 	}
-	m.failedAt = c.ep
+	if !e.Unmade {
+		m.failedAt = c.ep
+	}
 	m.kept = m.kept && (e.Outcome == NotSent || e.Outcome == NoConnect)
 	switch {
 	case m.over:
@@ -482,6 +486,7 @@
 // observe learns from how a call went.
 func (p *Policy) observe(c *call, e *Event) {
 	ep, l := c.ep, c.ep.lane
+	l.unmadeRun = 0
 	if e.Load.Limit > 0 {
 		if slices.Contains(l.dest.lanes, l) {
 			p.leastLimits[l.dest.kindAt].reported(l.limit, e.Load.Limit)
--- a/decide/state.go
+++ b/decide/state.go
@@ -76,6 +76,7 @@
 	bound      bool // the pace, not the traffic, decided when the last call went
 	fullRun    int
 	fullAt     Time // the first of the run
+	unmadeRun  int  // calls in a row that this machine could not make
 	lat        latency
 }
 
@@ -155,6 +156,7 @@
 	enough Time // until which the one that takes longest is waited for
 	left   int
 	noted  bool
+	unmade bool // for one of its messages at least
 	msgs   []*message
 }
 
--- a/internal/relay/diskfault_test.go
+++ b/internal/relay/diskfault_test.go
@@ -328,6 +328,3 @@
 	failing.Store(false)
 	waitFor(t, "the other", func() bool { r.sweepEndings(); _, told := disc.Notice("early"); return told })
 }
-
-// sweepEndings stands for what is to be: the loop's look at ends that the log has not taken.
-func (r *Relay) sweepEndings() {}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -289,6 +289,7 @@
 	idle    time.Duration // for which its connection had been idle; 0 for one in use or new
 	fresh   bool          // its connection was opened for it
 	unsaved bool          // the attempt could not be logged, so it was not made
+	unmade  bool          // this machine could not make the call: it was no try
 }
 
 // drop gives up the wait for one message. The call itself goes on for as long
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -26,6 +26,8 @@
 	refused                          map[refusal]*atomic.Int64
 	overdue                          atomic.Int64 // messages held past their time
 	clockSteps                       atomic.Int64 // of the wall clock since the start
+	unmade                           atomic.Int64 // calls that this machine could not make
+	logWaits                         atomic.Int64 // records that the log could not write yet
 }
 
 // refusal is why a request was not taken on, as log and figures name it.
@@ -108,6 +110,7 @@
 		fmt.Fprintf(&b, "# HELP app_refused_%[1]s Requests that were not taken on: %[1]s.\n# TYPE app_refused_%[1]s counter\napp_refused_%[1]s %[2]d\n", why, f.refused[why].Load())
 	}
 	fmt.Fprintf(&b, "# HELP app_clock_steps Steps of the machine's wall clock since the start.\n# TYPE app_clock_steps counter\napp_clock_steps %d\n", f.clockSteps.Load())
+	fmt.Fprintf(&b, "# HELP app_unmade Attempts that this machine could not make: no record in the log, or no connection from here.\n# TYPE app_unmade counter\napp_unmade %d\n", f.unmade.Load())
 	fmt.Fprintf(&b, "# HELP app_loaded Messages read back from the log after they were spilled.\n# TYPE app_loaded counter\napp_loaded %d\n", f.loaded.Load())
 	for _, g := range []struct {
 		name, help string
@@ -118,6 +121,7 @@
 		{"app_members_unavailable", "Endpoints on the list that the relay avoids now.", &f.unavailable},
 		{"app_spilled", "Messages pending that are in the log alone, not in memory.", &f.spilled},
 		{"app_overdue", "Messages held past their time.", &f.overdue},
+		{"app_log_waiting", "Records of what has happened that the disk has not taken yet.", &f.logWaits},
 		{"app_log_unread", "Messages owed at the start that are still to be read.", &f.unread},
 		{"app_log_damaged", "Damaged stretches found in the log at the start.", &f.damaged},
 		{"app_log_lost", "Messages that damage to the log took; each was given up.", &f.lost},
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -126,6 +126,7 @@
 	logOffset  int64 // µs from the policy's clock to the log's time
 	failed     error // the log can keep nothing more: this process ends
 	notices    *discovery.Notices
+	endings    []*ending // that the log may not have yet
 	began      time.Time
 	lastNum    uint32
 	lastEnd    decide.Endpoint
@@ -240,15 +241,15 @@
 	r.cl = newClients(cfg, log, func(q *request) { r.in.Put(happening{put: q}) },
 		func(q *request, ok bool) { r.in.Put(happening{said: q, ok: ok}) })
 	r.fig.waits.Store("waits for the process that owns the log")
-	if ok, err := r.owner.wait(cfg.State, stop); err != nil || !ok {
+	if ok, err := r.ownPatiently(stop); err != nil || !ok {
 		return err
 	}
 	defer r.owner.close()
 	r.fig.waits.Store("reads what is owed")
 	r.takeNews() // the wait may have been long: what drains since must not be sent to
 	r.step()
-	owed, err := r.openLog()
-	if err != nil {
+	owed, ok, err := r.openLogPatiently(stop)
+	if err != nil || !ok {
 		return err
 	}
 	defer func() { r.closeLog() }()
@@ -503,6 +504,7 @@
 			r.step()
 		}
 		r.load()
+		r.sweepEndings()
 		if r.cfg.Operator != "" && r.now()-r.shownAt >= showLeast {
 			r.show()
 		}
@@ -815,6 +817,7 @@
 	r.fig.members.Store(int64(r.members.listed))
 	r.fig.unavailable.Store(int64(r.avoided(r.shownAt)))
 	r.fig.pending.Store(int64(r.held - len(r.far))) // those are the other process's until their calls are over
+	r.fig.logWaits.Store(r.wal.Waiting())
 	r.showOverdue()
 }
 
@@ -921,16 +924,6 @@
 	r.end(m, word, ms)
 }
 
-// end logs how a message ended and has the platform told.
-func (r *Relay) end(m *message, word string, ms int64) {
-	if word == discovery.GivenUp {
-		ms = 0
-	}
-	n := discovery.Notice{Message: m.rec.ID, Outcome: word, RetryMS: ms}
-	// The notice goes out whether or not it could be logged.
-	r.wal.Submit(&wal.Record{Kind: wal.Ending, ID: m.rec.ID, Notice: word, RetryMS: ms}, func(error) { r.notices.Put(n) })
-}
-
 // act carries out what is no final answer.
 func (r *Relay) act(now decide.Time, a *decide.Action) {
 	switch a.Kind {
@@ -1084,7 +1077,7 @@
 		rec := c.parts[i].m.rec
 		r.wal.Submit(&wal.Record{Kind: wal.Attempt, ID: rec.ID, At: at, Zone: c.ep.zone, To: c.ep.id, By: r.owner.by, Sync: r.unsafe(rec)}, func(err error) {
 			if err != nil {
-				results[i] = outcome{what: decide.NotSent, err: err, unsaved: true}
+				results[i] = outcome{what: decide.NotSent, err: err, unsaved: true, unmade: true}
 			} else {
 				recs, place = append(recs, rec), append(place, i)
 			}
@@ -1126,10 +1119,14 @@
 // attempted books the end of an attempt.
 func (r *Relay) attempted(m *message, ep *endpoint, attempt int, o *outcome) {
 	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: attempt, Outcome: o.what, Wait: o.wait,
-		Slots: o.slots, Settled: o.settled || m.over, Took: o.took, Load: o.load, Fresh: o.fresh}
+		Slots: o.slots, Unmade: o.unmade, Settled: o.settled || m.over, Took: o.took, Load: o.load, Fresh: o.fresh}
 	if ep != nil {
 		e.Endpoint = ep.num
 	}
+	if o.unmade {
+		m.tries--
+		r.fig.unmade.Add(1)
+	}
 	if o.what != decide.Delivered || o.wait > 0 {
 		r.doubtCell(m.rec.Dest)
 	}
@@ -1139,7 +1136,7 @@
 			"attempt", attempt, "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000,
 			"idle_ms", o.idle.Milliseconds(), "age_ms", time.Since(m.taken).Milliseconds(), "err", o.err)
 	}
-	rec := &wal.Record{Kind: wal.Outcome, ID: m.rec.ID, Ran: !o.what.NeverRan()}
+	rec := &wal.Record{Kind: wal.Outcome, ID: m.rec.ID, Ran: !o.what.NeverRan(), Unmade: o.unmade}
 	if o.settled {
 		rec.Kind = wal.End
 	}
--- a/internal/relay/syserrors.go
+++ b/internal/relay/syserrors.go
@@ -12,6 +12,9 @@
 // shortages say that this machine is out of something, mostly for a moment.
 var shortages = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
 
+// diskTroubles are errors of files that may pass.
+var diskTroubles = append([]error{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EINTR, syscall.EAGAIN}, shortages...)
+
 // acceptErrors are of one connection that waited: the next may be had at once.
 var acceptErrors = []error{syscall.EINTR, syscall.ECONNABORTED, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.EPERM,
 	syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.EHOSTUNREACH, syscall.ENONET, syscall.ETIMEDOUT}
@@ -26,3 +29,6 @@
 
 // isAcceptError reports whether an error of accept is of that one connection.
 func isAcceptError(err error) bool { return isOneOf(err, acceptErrors) }
+
+// isDiskTrouble reports whether a file system failed in a way that may pass.
+func isDiskTrouble(err error) bool { return isOneOf(err, diskTroubles) }
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -385,7 +385,7 @@
 	r.policy = policy
 	r.msgs, r.ids, r.waiting = map[uint32]*message{}, map[string]*message{}, map[*request]*message{}
 	r.forgetSpilled()
-	r.held, r.overdue = 0, overdue{}
+	r.held, r.overdue, r.endings = 0, overdue{}, nil
 	r.owner.passed, r.owner.freed = false, false
 	e := decide.Event{Kind: decide.EvList, List: decide.ListFull}
 	for _, ep := range r.endpoints {
@@ -397,8 +397,11 @@
 	r.step()
 	r.policy.Recall(old.Memory, 0)
 	r.doubtAll()
-	owed, err := r.openLog()
-	if err != nil {
+	var owed int
+	if _, err := patiently(r.log, "log", nil, reopenPatience, isDiskTrouble, func() (err error) {
+		owed, err = r.openLog()
+		return err
+	}); err != nil {
 		return fmt.Errorf("not taken back: %w", err)
 	}
 	r.share()
--- a/internal/wal/core.go
+++ b/internal/wal/core.go
@@ -50,6 +50,7 @@
 	aside  int64 // bytes of damaged files that are kept
 	forced bool  // what is written now has its room already
 	rest   int64 // bytes of log at which a checkpoint is begun, after one that failed
+	torn   bool  // a write that failed may have left something at the end of the segment
 }
 
 // placed is a record in the buffer.
@@ -303,6 +304,9 @@
 // seal that names it, which is synced before anything is booked here: a loss of
 // power can take nothing but the end of the last one.
 func (c *core) roll() error {
+	if err := c.mendEnd(); err != nil {
+		return err
+	}
 	if c.cur != nil && c.o.Promise == Power {
 		if err := c.sync(); err != nil {
 			return err
@@ -424,18 +428,31 @@
 
 // write puts b at the end of the segment.
 func (c *core) write(b []byte) error {
+	if err := c.mendEnd(); err != nil {
+		return err
+	}
 	n, err := c.cur.f.WriteAt(b, c.at)
 	if err == nil && n < len(b) {
 		err = errors.New("short write")
 	}
 	if err != nil {
-		// A part that was written would hide nothing, since its number comes again;
-		// but it takes up room.
-		if terr := c.cur.f.Truncate(c.at); terr != nil {
-			err = errors.Join(err, terr)
-		}
-		return fmt.Errorf("log: %w", err)
+		c.torn = true
+		return errors.Join(fmt.Errorf("log: %w", err), c.mendEnd())
+	}
+	return nil
+}
+
+// mendEnd cuts off what a write that failed may have left behind. Before that nothing
+// more is written: whole records may be among it, which were refused, and behind a
+// shorter one they would be read as booked.
+func (c *core) mendEnd() error {
+	if !c.torn {
+		return nil
 	}
+	if err := c.cur.f.Truncate(c.at); err != nil {
+		return fmt.Errorf("log: what a write left behind: %w", err)
+	}
+	c.torn = false
 	return nil
 }
 
@@ -516,6 +533,12 @@
 		if err == nil {
 			c.buf, err = appendRecord(c.buf, r, seq+1, c.salt, nil)
 		}
+		if err == ErrFull && r.Kind.settles() { // nothing may come ahead of it
+			for ; n < len(recs); n++ {
+				ends[n] = ErrFull
+			}
+			break
+		}
 		if ends[n] = err; err == nil {
 			seq++
 			c.put = append(c.put, placed{r, n, start, len(c.buf) - start, seq})
@@ -574,14 +597,16 @@
 		ends[put[0].n] = err
 		return
 	}
+	missed := false // one that has to come before all later ones
 	for _, p := range put {
-		if p.r.Kind == Taken {
+		if p.r.Kind == Taken || missed {
 			ends[p.n] = err
 			continue
 		}
 		one := []error{nil}
 		c.appendSome([]*Record{p.r}, one)
 		ends[p.n] = one[0]
+		missed = one[0] != nil && p.r.Kind.settles()
 	}
 }
 
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"troutusher/internal/mailbox"
@@ -20,16 +22,19 @@
 // run on it, in the order in which their records were handed over, and may not
 // wait. After a Pass, the log belongs to the next process.
 type Log struct {
-	c      *core
-	in     *mailbox.Mailbox[op]
-	done   chan struct{}
-	order  []uint32 // entries that were not read yet, what was owed longest first
-	read   reader
-	load   reader // of Read
-	Side   *Side  // of the process before, where that lives
-	By     int    // this process, among those that opened the log
-	Memory []byte // of the policy of the process that passed the log on; nil where none did
-	Found  Report
+	c       *core
+	in      *mailbox.Mailbox[op]
+	done    chan struct{}
+	order   []uint32 // entries that were not read yet, what was owed longest first
+	read    reader
+	load    reader // of Read
+	kept    []op   // what has happened and could not be written yet, in order
+	lastErr error  // why
+	waiting atomic.Int64
+	Side    *Side  // of the process before, where that lives
+	By      int    // this process, among those that opened the log
+	Memory  []byte // of the policy of the process that passed the log on; nil where none did
+	Found   Report
 	// Behind is by how much the wall clock lay behind the log at the start, where
 	// nothing but that clock could tell how long no process ran: it was set back, and
 	// how long that was is not known. Else 0.
@@ -67,6 +72,10 @@
 // may ask, also after a Pass.
 func (l *Log) Time() int64 { return l.c.time.now() }
 
+// Waiting is how many records of what has happened could not be written yet. Any
+// goroutine may ask.
+func (l *Log) Waiting() int64 { return l.waiting.Load() }
+
 // Owed is how many messages were owed at the start and were not read yet. Before
 // Run, and on the log's goroutine.
 func (l *Log) Owed() int { return len(l.order) }
@@ -163,7 +172,10 @@
 	return order
 }
 
-// Submit hands a record over. It never waits.
+// Submit hands a record over. It never waits. What tells of something that has
+// happened (an outcome, an ending, an end, a mark) is kept where it cannot be written,
+// and tried again until it is, before all later records: then is called only once it is
+// booked, or cannot be any more. Whatever else comes meanwhile fails.
 func (l *Log) Submit(r *Record, then func(error)) { l.in.Put(op{rec: r, then: then}) }
 
 // Do has f run on the log's goroutine, after what was handed over before.
@@ -192,8 +204,19 @@
 			continue
 		}
 		if stopping {
+			l.dropKept()
 			return
 		}
+		if len(l.kept) > 0 {
+			select {
+			case <-l.in.Ready():
+			case <-time.After(keptEvery):
+			case <-stop:
+				stopping = true
+			}
+			l.writeKept()
+			continue
+		}
 		if more {
 			select {
 			case <-l.in.Ready():
@@ -226,7 +249,12 @@
 		case x.do != nil:
 			x.do()
 		default:
-			err := l.c.pass(x.rec)
+			err := error(nil)
+			if l.writeKept() {
+				err = l.c.pass(x.rec)
+			} else {
+				err = l.lastErr
+			}
 			if err != nil {
 				l.c.log.Error("log: not passed on", "err", err)
 			}
@@ -236,13 +264,78 @@
 		}
 		return 1
 	}
+	if !l.writeKept() {
+		for _, x := range ops[:n] {
+			l.booked(x, l.lastErr)
+		}
+		return n
+	}
 	for i, err := range l.c.append(*recs) {
-		if err != nil && err != ErrNotOwed {
-			l.c.log.Error("log: record not written", "kind", ops[i].rec.Kind, "message", ops[i].rec.ID, "err", err)
+		l.booked(ops[i], err)
+	}
+	return n
+}
+
+// keptEvery is how often what could not be written is tried again.
+const keptEvery = 25 * time.Millisecond
+
+// booked tells what became of a record, or keeps it.
+func (l *Log) booked(x op, err error) {
+	if err != nil && err != ErrNotOwed && x.rec.Kind.settles() && !errors.Is(err, ErrFailed) {
+		if len(l.kept) == 0 {
+			l.c.log.Error("log: cannot be written: what has happened is kept until it can", "kind", x.rec.Kind, "message", x.rec.ID, "err", err)
+		}
+		l.kept, l.lastErr = append(l.kept, x), err
+		l.waiting.Store(int64(len(l.kept)))
+		return
+	}
+	if err != nil && err != ErrNotOwed {
+		l.c.log.Error("log: record not written", "kind", x.rec.Kind, "message", x.rec.ID, "err", err)
+	}
+	if x.then != nil {
+		x.then(err)
+	}
+}
+
+// writeKept writes what was kept, and reports whether nothing is left.
+func (l *Log) writeKept() bool {
+	if len(l.kept) == 0 {
+		return true
+	}
+	again := l.kept
+	l.kept = nil
+	for len(again) > 0 {
+		some := again[:min(len(again), opsMost)]
+		recs := make([]*Record, len(some))
+		for i := range some {
+			recs[i] = some[i].rec
 		}
-		if then := ops[i].then; then != nil {
-			then(err)
+		for i, err := range l.c.append(recs) {
+			l.booked(some[i], err)
+		}
+		again = again[len(some):]
+		if len(l.kept) > 0 {
+			l.kept = append(l.kept, again...)
+			return false
+		}
+	}
+	l.waiting.Store(0)
+	l.c.log.Info("log: can be written again")
+	return true
+}
+
+// dropKept tries once more, and tells what is not booked at the end of the process:
+// the next one finds those messages as they are in the log.
+func (l *Log) dropKept() {
+	if l.writeKept() {
+		return
+	}
+	left := l.kept
+	l.kept = nil
+	for _, x := range left {
+		l.c.log.Error("log: record not written", "kind", x.rec.Kind, "message", x.rec.ID, "err", l.lastErr)
+		if x.then != nil {
+			x.then(l.lastErr)
 		}
 	}
-	return n
 }
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -176,7 +176,11 @@
 		to = append(to, r.What)
 		to = binary.AppendVarint(to, r.Wait)
 		to = binary.AppendVarint(to, r.Took)
-		return appendBool(to, r.Slots)
+		to = appendBool(to, r.Slots)
+		if r.Unmade { // older programs neither write nor read it
+			to = appendBool(to, true)
+		}
+		return to
 	case Ending:
 		to = appendString(to, r.Notice)
 		return binary.AppendVarint(to, r.RetryMS)
@@ -270,6 +274,7 @@
 	case Outcome, End:
 		r.Ran, r.What, r.Wait, r.Took = c.byte() == 1, c.byte(), c.int(), c.int()
 		r.Slots = c.byte() == 1
+		r.Unmade = len(c.b) > 0 && c.byte() == 1
 	case Ending:
 		r.Notice, r.RetryMS = c.string(), c.int()
 	case Mark:
--- a/internal/wal/state.go
+++ b/internal/wal/state.go
@@ -171,6 +171,9 @@
 			if r.Ran && e.doubt == 0 {
 				e.doubt, e.in = x.out, int16(x.outIn)
 			}
+			if r.Unmade && x.out != 0 && e.tries > 0 {
+				e.tries--
+			}
 			x.out, x.outIn, x.outBy, x.outTo = 0, 0, 0, ""
 			s.idx.lessen(i)
 		}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -54,6 +54,10 @@
 	total Kind = "total" // the last of a checkpoint: how many it holds
 )
 
+// settles reports whether a record tells of something that has happened already, so
+// that it is kept where it cannot be written, and written before all later ones.
+func (k Kind) settles() bool { return k == Outcome || k == Ending || k == End || k == Mark }
+
 // Record is one entry of the log. Times are the log's, in microseconds: see Log.Time.
 type Record struct {
 	Kind     Kind   `json:"kind"`
@@ -68,6 +72,7 @@
 	To       string `json:"to,omitempty"`     // attempt: its endpoint
 	By       int    `json:"by,omitempty"`     // attempt, mark: the process, counted over those that opened the log
 	Ran      bool   `json:"ran,omitempty"`    // outcome: it may have run
+	Unmade   bool   `json:"unmade,omitempty"` // outcome: this machine could not make the call; it was no try
 	Notice   string `json:"notice,omitempty"` // ending: the word for it
 	RetryMS  int64  `json:"retry_ms,omitempty"`
 	// The state of a message, as earlier records left it.
@@ -111,6 +116,9 @@
 		if r.Ran && t.Doubt == 0 {
 			t.Doubt, t.DoubtIn = t.Out, t.OutIn
 		}
+		if r.Unmade && t.Tries > 0 {
+			t.Tries--
+		}
 		t.Out, t.OutIn, t.OutTo, t.OutBy = 0, 0, "", 0
 	case Ending:
 		t.Notice, t.RetryMS = r.Notice, r.RetryMS
