Show what connects and listeners cost that fail for a moment

Measured: with each of the four errors for 1.5 s, five of six messages were handed back with no call. A start whose address is taken for 0.4 s ends.

--- /dev/null
+++ b/internal/relay/connectfault_test.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"troutusher/internal/discovery/discoverytest"
+	"troutusher/internal/loopback"
+)
+
+// connectFaultEnv names a file to a child relay: as long as that is there, connects to
+// endpoints fail with the error whose number stands in it.
+const connectFaultEnv = "TROUTUSHER_TEST_CONNECT_FAULT"
+
+func faultyConnect(path string) ConnectHook {
+	fault := faultIn(path)
+	return func(string, string, syscall.RawConn) error {
+		if err := fault(); err != nil {
+			return os.NewSyscallError("connect", err)
+		}
+		return nil
+	}
+}
+
+// Guards messages against a machine that can open no connection for a while: none of their
+// tries is used up, no endpoint is blamed, and they go out soon after it can again.
+func TestConnectFailsForAWhile(t *testing.T) {
+	for _, fault := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENFILE, syscall.ENOBUFS, syscall.ENETUNREACH} {
+		t.Run(fault.Error(), func(t *testing.T) {
+			t.Parallel()
+			ep := newFakeEndpoint(t, nil)
+			disc := discoverytest.New(t, ep.member("s-1", 1))
+			env := testConfig(t, disc, 3)
+			connects := newFaultSwitch(t, env, connectFaultEnv)
+			connects.set(fault)
+			c := spawnTo(t, env, io.Discard)
+			c.ready(t)
+			cl := dialClient(t, env["ROUTER_LISTEN"])
+			var ids []string
+			for i := range 6 {
+				ids = append(ids, fmt.Sprint("m", i))
+				if s := cl.put(ids[i], fields([]string{"plain", "once", "keyed"}[i%3], 20000, 1), nil); s != "+OK" {
+					t.Fatalf("%s: %s", ids[i], s)
+				}
+			}
+			time.Sleep(1500 * time.Millisecond) // the machine is without for that long
+			connects.clear()
+			cleared := time.Now()
+			for _, id := range ids {
+				for time.Since(cleared) < 2*time.Second && !ep.answered(id) {
+					time.Sleep(2 * time.Millisecond)
+				}
+				if n, ended := disc.Notice(id); ep.count(id) != 1 || ended {
+					t.Errorf("%s: %d calls, notice %q", id, ep.count(id), n.Outcome)
+				}
+			}
+		})
+	}
+}
+
+// Guards the start where the addresses that a relay listens at are not to be had at once:
+// it waits a little, and is ready once they are.
+func TestStartWhileAddressesAreTaken(t *testing.T) {
+	env := testConfig(t, discoverytest.New(t), 3)
+	env["ROUTER_OPERATOR"] = loopback.Free()
+	var taken []net.Listener
+	for _, name := range []string{"ROUTER_LISTEN", "ROUTER_OPERATOR"} {
+		ln, err := net.Listen("tcp", env[name])
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken = append(taken, ln)
+	}
+	c := spawnTo(t, env, io.Discard)
+	for _, ln := range taken {
+		time.Sleep(400 * time.Millisecond)
+		ln.Close()
+	}
+	if c.exited() {
+		t.Fatal("it ended")
+	}
+	c.ready(t)
+	waitFor(t, "a yes", func() bool { return c.says(true) })
+}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -47,6 +47,9 @@
 	if path := os.Getenv(diskFaultEnv); path != "" {
 		cfg.FS = newFaultyDisk(path)
 	}
+	if path := os.Getenv(connectFaultEnv); path != "" {
+		cfg.Connect = faultyConnect(path)
+	}
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	if err := Run(cfg, log, ctx.Done(), Moves(hup, os.Getenv, log)); err != nil {
 		log.Error("child", "err", err)
