Blame no endpoint for what this machine could not do, and wait for listeners

Reason: an error of socket or connect that says something of this machine alone was booked as no connection in time: a try of each message, a failure of the endpoint, an outage by inference. The first error of a listener ended the process. Change: EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EADDRINUSE, EAGAIN, ENETUNREACH and ENETDOWN before a byte is out are calls that were never made, as those that the log could not take. A listener is tried for up to 5 s.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -431,6 +431,9 @@
 	if err != nil {
 		conn := line.Load()
 		o.what, o.err = c.failure(ctx, err, conn), err
+		if o.what == decide.NoConnect && c.stage.Load() == callWaiting && isLocal(err) {
+			o.what, o.unmade = decide.NotSent, true
+		}
 		if len(recs) == 1 && conn != nil && c.stage.Load() == callWritten && conn.said200() {
 			o.what, o.settled, o.status = decide.Delivered, true, http.StatusOK
 		}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -255,8 +255,8 @@
 	defer func() { r.closeLog() }()
 	r.share()
 	r.step()
-	ln, err := listen(ctx, cfg.Listen)
-	if err != nil {
+	ln, ok, err := listenPatiently(log, stop, func() (*net.TCPListener, error) { return listen(ctx, cfg.Listen) })
+	if err != nil || !ok {
 		return err
 	}
 	defer ln.Close()
--- a/internal/relay/operator.go
+++ b/internal/relay/operator.go
@@ -45,7 +45,7 @@
 
 // startOperator listens at addr. The caller closes it.
 func startOperator(cfg *Config, log *slog.Logger, fig *figures, ready *atomic.Bool, ask func(decide.EventKind)) (*operator, error) {
-	ln, err := net.Listen("tcp", cfg.Operator)
+	ln, _, err := listenPatiently(log, nil, func() (net.Listener, error) { return net.Listen("tcp", cfg.Operator) })
 	if err != nil {
 		return nil, fmt.Errorf("operator: %w", err)
 	}
--- a/internal/relay/patience.go
+++ b/internal/relay/patience.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net"
 	"time"
 )
 
@@ -10,6 +11,7 @@
 
 const (
 	patienceEvery  = 50 * time.Millisecond // between two tries
+	listenPatience = 5 * time.Second       // after which an address that is taken is a fault of the configuration
 	reopenPatience = time.Second           // the loop stands still meanwhile
 )
 
@@ -55,3 +57,13 @@
 	})
 	return owed, ok, err
 }
+
+// listenPatiently listens at an address that another process may still have.
+func listenPatiently[L net.Listener](log *slog.Logger, stop <-chan struct{}, open func() (L, error)) (ln L, ok bool, err error) {
+	ok, err = patiently(log, "listen", stop, listenPatience, isListenTrouble, func() error {
+		var err error
+		ln, err = open()
+		return err
+	})
+	return ln, ok, err
+}
