Have the lab step the wall clocks of relays beside its other faults

Reason: a reproduction with real processes, clients, signals and broken links judges what single tests do not: all promises at once, over many orders of steps, kills and upgrades.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -96,6 +96,9 @@
 }
 
 func (r *run) strikeRelay(ctx context.Context, s Step, x *relay) error {
+	if s.Fault.Kind == "clock" { // also beside other faults, and while no process runs
+		return r.strikeClock(ctx, s, x)
+	}
 	x.busy.Lock() // one fault at a time on a relay's process
 	defer x.busy.Unlock()
 	if ctx.Err() != nil {
@@ -171,6 +174,20 @@
 	return x.start()
 }
 
+// strikeClock steps the wall clock of a relay's machine, and back where the fault is to be
+// undone.
+func (r *run) strikeClock(ctx context.Context, s Step, x *relay) error {
+	by := time.Duration(s.Fault.MS * float64(time.Millisecond))
+	if s.Fault.Way == "back" || s.Fault.Way == "both" && rand.New(rand.NewPCG(s.Draw, uint64(x.num))).IntN(2) == 0 {
+		by = -by
+	}
+	if err := x.wall.Step(by); err != nil || s.Fault.For == 0 {
+		return err
+	}
+	r.hold(ctx, s)
+	return x.wall.Step(-by)
+}
+
 // damage flips one bit of a file, tears off its end, puts zeros in its place or
 // takes the file away, and says what it did. In a folder, one of its files is
 // drawn; what has an end is its newest segment.
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -14,6 +14,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"troutusher/internal/clock/wallclock"
 	"troutusher/internal/discovery"
 	"troutusher/internal/lab/history"
 	"troutusher/internal/lab/judge"
@@ -341,6 +343,11 @@
 	if x.log, err = os.Create(filepath.Join(r.opts.Out, "logs", x.name+".log")); err != nil {
 		return fmt.Errorf("lab: %w", err)
 	}
+	if slices.ContainsFunc(r.scen.Faults, func(f scenario.Fault) bool { return f.Kind == "clock" }) {
+		if x.wall, err = wallclock.New(x.dir); err != nil {
+			return err
+		}
+	}
 	if x.door, err = r.world.Net.Listen("clients", x.name, r.address(), x.listen, r.seed, nil); err != nil {
 		return err
 	}
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"troutusher/internal/clock/wallclock"
 	"troutusher/internal/lab/history"
 	"troutusher/internal/lab/link"
 	"troutusher/internal/lab/model"
@@ -32,6 +33,7 @@
 	door     *link.Link   // its clients come through here
 	links    []*link.Link // to each endpoint
 	log      *os.File
+	wall     *wallclock.Wall // of its machine; nil where no fault steps it
 
 	agentProc *process.Proc // where the list service is of real processes
 	agentLog  *os.File
@@ -89,6 +91,11 @@
 	}
 	o := r.run.opts
 	env := append([]string{"ROUTER_CONFIG=" + filepath.Join(r.dir, "config.json")}, o.Env...)
+	if r.wall != nil {
+		for name, value := range r.wall.Env() {
+			env = append(env, name+"="+value)
+		}
+	}
 	program := o.Program
 	if r.mu.Lock(); r.proc == nil && o.First != "" {
 		program = o.First
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -106,10 +106,10 @@
 	Relays []int    `toml:"relays"` // strike these, by number, in place of a draw
 	Cells  []int    `toml:"cells"`  // the same of destinations
 	Spread float64  `toml:"spread"` // strike within so many seconds, not all at once
-	Way    string   `toml:"way"`    // cut, delay: "forth", "back" or "both"
+	Way    string   `toml:"way"`    // cut, delay: "forth", "back" or "both"; clock: which way it is stepped, drawn for "both"
 	Folder string   `toml:"folder"` // kill, term: what the next process finds
 	File   string   `toml:"file"`   // damage: in the relay's folder
-	MS     float64  `toml:"ms"`     // delay
+	MS     float64  `toml:"ms"`     // delay; clock: by how much
 	Factor float64  `toml:"factor"` // slow, limits; evacuate: share that each destination keeps, 0.5 where it is left out
 	Rate   float64  `toml:"rate"`   // turnaway, throttle; evacuate: endpoints a second, 2 where it is left out
 	Kinds  []string `toml:"kinds"`  // partners of these kinds alone
@@ -128,9 +128,15 @@
 	"turnaway": "discovery", "quiet": "discovery",
 	"node-kill": "node", "node-pause": "node", "node-cut": "node", "lapse": "registration", "restore": "group",
 	"warden-kill": "warden", "warden-pause": "warden", "warden-cut": "warden", "rollout": "fleet",
-	"salvage": "relay", "evacuate": "zone",
+	"salvage": "relay", "evacuate": "zone", "clock": "relay",
 }
 
+// Bounds of ms, in milliseconds.
+const (
+	delayMost = 60000
+	stepMost  = 3 * 3600 * 1000 // of a wall clock
+)
+
 // Damage are the kinds that spoil a file while its relay is down.
 var Damage = map[string]bool{"flip": true, "tear": true, "zero": true, "gone": true}
 
@@ -371,6 +377,13 @@
 	return fmt.Sprintf("%q; allowed: %s", v, strings.Join(of, ", "))
 }
 
+func (f *Fault) mostMS() float64 {
+	if f.Kind == "clock" {
+		return stepMost
+	}
+	return delayMost
+}
+
 func (s *Scenario) checkFault(f *Fault) (key, text string) {
 	target, ok := Kinds[f.Kind]
 	if !ok {
@@ -394,7 +407,7 @@
 		v   float64
 		top float64
 	}{{"at", f.At, s.Seconds}, {"for", f.For, 3600}, {"every", f.Every, 3600}, {"share", f.Share, 1}, {"spread", f.Spread, 3600},
-		{"ms", f.MS, 60000}, {"factor", f.Factor, 1000}, {"rate", f.Rate, 1e9}} {
+		{"ms", f.MS, f.mostMS()}, {"factor", f.Factor, 1000}, {"rate", f.Rate, 1e9}} {
 		if !(c.v >= 0 && c.v <= c.top) {
 			return c.key, fmt.Sprintf("%v; from 0 to %v is allowed", c.v, c.top)
 		}
