Spread watches that break as ETIMEDOUT like those that are reset

Reason: net.Error's Timeout says yes to ETIMEDOUT, with which the kernel breaks a connection that has stood; so each such break was taken for a try that had taken its time, and the next followed 0.1 to 0.3 s later without end. Change: only a connect that timed out limits itself.

--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -33,8 +33,12 @@
 func limitsItself(err error) bool {
 	var opError *net.OpError
 	var timeout net.Error
+	dialed := errors.As(err, &opError) && opError.Op == "dial"
+	if errors.Is(err, syscall.ETIMEDOUT) && !dialed {
+		return false // a connection that stood has broken: Timeout says yes to that, too
+	}
 	return errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, errWatchSilent) || errors.Is(err, context.DeadlineExceeded) ||
-		errors.As(err, &opError) && opError.Op == "dial" && !isRefusal(err)
+		dialed && !isRefusal(err)
 }
 
 // retrySpread gives the time from a refused try to the next one. fleetServeTime is
