Count how long a duty was held by the leader's monotonic clock

Reason: the time between a grant and the end of its session was the difference of two dates, which leaders of different machines may have drawn, with steps between. Change: the leader notes when it first saw each grant (Tenures, no clock of its own) and tells the spans with the command that ends sessions. Commands of older leaders are read as before. In a group of both versions the counts may differ until all are new.

--- a/internal/registry/duties.go
+++ b/internal/registry/duties.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		d.Holder, d.Left = "", c.At
-		if lasted := time.Duration(c.At-d.Since) * time.Millisecond; c.Failed && lasted > 2*x.TTL {
+		if c.Failed && c.lasted(&d) > 2*x.TTL {
 			d.Fails = 1 // it had gone well until a time to live ago
 		} else if c.Failed {
 			d.Fails++
@@ -125,6 +125,16 @@
 	}
 }
 
+// lasted is how long a duty was held by a session that ends. The dates of an older
+// leader's commands are all that tells it there, and may have been set meanwhile.
+func (c *Command) lasted(d *Duty) time.Duration {
+	ms := c.At - d.Since
+	if c.Lasted != nil {
+		ms = c.Lasted[d.Name]
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (s *State) setDuty(d Duty) {
 	s.DutyRev++
 	s.Duties[d.Name] = d
--- a/internal/registry/lapse.go
+++ b/internal/registry/lapse.go
@@ -24,6 +24,7 @@
 	mu        sync.Mutex
 	heard     map[string]time.Time
 	sessions  SessionBeats
+	tenures   Tenures
 	ending    []string    // of them, not committed yet
 	lapsed    []time.Time // of the last largest time to live
 	heldSince time.Time   // zero for not held
@@ -32,7 +33,7 @@
 }
 
 func newHearts(n *Node) *hearts {
-	return &hearts{node: n, heard: map[string]time.Time{}, sessions: SessionBeats{}}
+	return &hearts{node: n, heard: map[string]time.Time{}, sessions: SessionBeats{}, tenures: Tenures{}}
 }
 
 // reset forgets everything: a new leader gives each registration a whole time
@@ -42,6 +43,7 @@
 	defer h.mu.Unlock()
 	clear(h.heard)
 	clear(h.sessions)
+	clear(h.tenures)
 	h.lapsed, h.heldSince, h.held, h.confirmed = nil, time.Time{}, 0, false
 }
 
@@ -67,7 +69,10 @@
 // lookSessions ends those that were not heard of for a whole time to live.
 func (h *hearts) lookSessions() {
 	h.mu.Lock()
-	ids := h.sessions.Overdue(h.node.store.sessions(), h.node.uptime())
+	now, duties := h.node.uptime(), h.node.store.eachDuty()
+	h.tenures.Look(duties, now)
+	ids := h.sessions.Overdue(h.node.store.sessions(), now)
+	lasted := h.tenures.Lasted(duties, ids, now)
 	h.ending = ids
 	h.mu.Unlock()
 	if len(ids) == 0 {
@@ -78,7 +83,7 @@
 		h.ending = nil
 		h.mu.Unlock()
 	}()
-	if _, err := h.node.apply(Command{Request: NewID(), Op: OpSessionEnd, Ended: ids, Failed: true}); err != nil {
+	if _, err := h.node.apply(Command{Request: NewID(), Op: OpSessionEnd, Ended: ids, Lasted: lasted, Failed: true}); err != nil {
 		h.node.log.Warn("sessions not ended", "count", len(ids), "err", err)
 		return
 	}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -68,8 +68,9 @@
 	Zone    string           `json:"zone,omitempty"`
 	Region  string           `json:"region,omitempty"` // empty: the zone is of none
 	Session Session          `json:"session,omitzero"`
-	Ended   []string         `json:"ended,omitempty"` // sessions
-	Duty    string           `json:"duty,omitempty"`  // of the duty's own; on any other, with Token, its fence
+	Ended   []string         `json:"ended,omitempty"`  // sessions
+	Lasted  map[string]int64 `json:"lasted,omitempty"` // by duty, the ms for which an ended session has held it; nil from an older leader
+	Duty    string           `json:"duty,omitempty"`   // of the duty's own; on any other, with Token, its fence
 	Token   int64            `json:"token,omitempty"`
 	Note    string           `json:"note,omitempty"`
 	Next    string           `json:"next,omitempty"`
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -201,6 +201,12 @@
 	return maps.Clone(s.state.Sessions)
 }
 
+func (s *store) eachDuty() map[string]Duty {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return maps.Clone(s.state.Duties)
+}
+
 func (s *store) tokens() (last, dutyRev int64) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
