Show servers that end at an error of accept that passes

Reason: accept fails for a moment with ENOBUFS and others; the relay's operator address, the list service's nodes and agents are served by net/http, which ends at the first such error. Measured: the server ends at ENOBUFS, ENOMEM, EPROTO, ENETUNREACH and others, and answers nobody any more.

--- /dev/null
+++ b/internal/listener/listener_test.go
@@ -0,0 +1,69 @@
+package listener
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// failing is a listener whose Accept fails ahead of each connection, as the kernel may.
+type failing struct {
+	net.Listener
+	mu     sync.Mutex
+	faults []syscall.Errno
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.faults) > 0 {
+		err := f.faults[0]
+		f.faults = f.faults[1:]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	return f.Listener.Accept()
+}
+
+// A server goes on over each error of accept that Linux documents, and ends when it is
+// closed.
+func TestServerOutlivesAcceptErrors(t *testing.T) {
+	for _, fault := range []syscall.Errno{syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENFILE, syscall.EMFILE, syscall.EPROTO,
+		syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ENETDOWN, syscall.EPERM} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") })}
+		ended := make(chan error, 1)
+		go func() { ended <- s.Serve(Patient(&failing{Listener: ln, faults: []syscall.Errno{fault, fault, fault}})) }()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ln.Addr().String(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			resp.Body.Close()
+		} else {
+			t.Errorf("%v: %v", fault, err)
+		}
+		cancel()
+		s.Close()
+		ln.Close()
+		select {
+		case err := <-ended:
+			if !errors.Is(err, http.ErrServerClosed) {
+				t.Errorf("%v: ended by %v", fault, err)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%v: it does not end", fault)
+		}
+	}
+}
