Have servers wait out errors of accept that pass

Reason: one ENOBUFS, ENOMEM, EPROTO or ENETUNREACH of accept ended the operator address of a relay, and a node, an agent or a warden of the list service, for good.

--- a/internal/duty/command/command.go
+++ b/internal/duty/command/command.go
@@ -18,6 +18,7 @@
 
 	"troutusher/internal/clock"
 	"troutusher/internal/duty"
+	"troutusher/internal/listener"
 	"troutusher/internal/registry/client"
 	"troutusher/internal/rollout"
 	"troutusher/internal/salvage"
@@ -92,7 +93,7 @@
 				mux := http.NewServeMux()
 				mux.Handle("GET /v1/metrics", figures.Handler())
 				s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-				go s.Serve(ln) // ends by Close
+				go s.Serve(listener.Patient(ln)) // ends by Close
 				defer s.Close()
 			}
 			return duty.Run(c.Context(), duty.Options{Client: g, Warden: name, TTL: ttl, Duties: work, Log: log, Figures: figures, Clock: own})
@@ -156,7 +157,7 @@
 			defer l.Stop()
 			log := slog.New(slog.NewTextHandler(errOut, nil))
 			s := &http.Server{Handler: (&rollout.Runner{Folder: folder, Program: l, Log: log}).Handler(), ReadHeaderTimeout: 5 * time.Second}
-			go s.Serve(ln) // ends by Close
+			go s.Serve(listener.Patient(ln)) // ends by Close
 			defer s.Close()
 			log.Info("runner serves", "listen", ln.Addr().String())
 			<-c.Context().Done()
--- a/internal/registry/agent/agent.go
+++ b/internal/registry/agent/agent.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"troutusher/internal/discovery"
+	"troutusher/internal/listener"
 	"troutusher/internal/mailbox"
 	"troutusher/internal/registry/client"
 )
@@ -103,7 +104,7 @@
 	a.http = &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ErrorLog: slog.NewLogLogger(o.Log.Handler(), slog.LevelDebug)}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.wg.Add(4)
-	go func() { defer a.wg.Done(); a.http.Serve(a.ln) }()
+	go func() { defer a.wg.Done(); a.http.Serve(listener.Patient(a.ln)) }()
 	go func() {
 		defer a.wg.Done()
 		a.mu.Lock()
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -20,6 +20,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+
+	"troutusher/internal/listener"
 )
 
 // Figures of the group. A leader that died is followed by another well within
@@ -115,7 +117,7 @@
 	n.wg.Add(1)
 	go func() {
 		defer n.wg.Done()
-		s.Serve(ln) // ends by Close
+		s.Serve(listener.Patient(ln)) // ends by Close
 	}()
 }
 
--- a/internal/relay/operator.go
+++ b/internal/relay/operator.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"troutusher/decide"
+	"troutusher/internal/listener"
 )
 
 // The operator address: what the staff, or their tools, ask of one relay. It is
@@ -58,7 +59,7 @@
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	o.srv.SetKeepAlivesEnabled(false) // one call a connection
 	go func() {
-		if err := o.srv.Serve(ln); err != http.ErrServerClosed {
+		if err := o.srv.Serve(listener.Patient(ln)); err != http.ErrServerClosed {
 			log.Error("operator: no longer served", "err", err)
 		}
 	}()
