Keep a test's log in the one buffer that the tests have for it

Reason: lockedLog in the tests of clock steps and disk faults repeated lockedBuffer, and its text was read without the lock where a test failed. Change: lockedBuffer alone, with a method that gives its text; tests only. Measured: go test -race on the tests of clock steps, starts on a failing disk and crowds: ok.

--- a/internal/relay/clockstep_test.go
+++ b/internal/relay/clockstep_test.go
@@ -1,10 +1,8 @@
 package relay
 
 import (
-	"bytes"
 	"fmt"
 	"maps"
-	"sync"
 	"testing"
 	"time"
 
@@ -29,30 +27,12 @@
 	quick   *fakeEndpoint // serves 1
 	hung    *fakeEndpoint // serves 2
 	later   *fakeEndpoint // serves 5, once it is listed
-	log     *lockedLog
+	log     *lockedBuffer
 	taken   map[string]time.Time
 }
 
-// lockedLog keeps what all processes of a test log.
-type lockedLog struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *lockedLog) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-func (l *lockedLog) has(text string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return bytes.Contains(l.text.Bytes(), []byte(text))
-}
-
 func newSteppedRelay(t *testing.T) *steppedRelay {
-	s := &steppedRelay{t: t, wall: clocktest.New(t), notices: &noticeTimes{at: map[string]time.Time{}}, log: &lockedLog{}, taken: map[string]time.Time{},
+	s := &steppedRelay{t: t, wall: clocktest.New(t), notices: &noticeTimes{at: map[string]time.Time{}}, log: &lockedBuffer{}, taken: map[string]time.Time{},
 		quick: newFakeEndpoint(t, nil), hung: newFakeEndpoint(t, hang), later: newFakeEndpoint(t, nil)}
 	s.disc = discoverytest.New(t, s.quick.member("s-1", 1), s.hung.member("s-2", 2))
 	s.env = testConfig(t, s.disc, 3)
@@ -62,7 +42,7 @@
 	go s.notices.follow(s.disc, done)
 	t.Cleanup(func() {
 		if t.Failed() {
-			t.Logf("%s", s.log.text.Bytes())
+			t.Log(s.log.all())
 		}
 	})
 	return s
@@ -156,7 +136,7 @@
 			s.put("back", "plain", left, 5)
 			s.endsAt("late-after", 2*left, time.Time{})
 			s.endsAt("back", left, time.Time{})
-			if !s.log.has("the wall clock was stepped") {
+			if s.log.count("the wall clock was stepped") == 0 {
 				t.Error("the log does not tell of the step")
 			}
 		})
--- a/internal/relay/crowd_test.go
+++ b/internal/relay/crowd_test.go
@@ -159,6 +159,13 @@
 	return b.text.Write(p)
 }
 
+// all is what was logged so far.
+func (b *lockedBuffer) all() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 func (b *lockedBuffer) count(text string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/relay/diskfault_test.go
+++ b/internal/relay/diskfault_test.go
@@ -256,11 +256,11 @@
 			}
 			c.kill()
 			disk.set(fault)
-			log := &lockedLog{}
+			log := &lockedBuffer{}
 			c = spawnTo(t, env, log)
 			for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 				if c.exited() {
-					t.Fatalf("it ended:\n%s", log.text.Bytes())
+					t.Fatalf("it ended:\n%s", log.all())
 				}
 			}
 			disk.clear()
