Treat a refusal that cannot be read to its end as an attempt that may have run

Reason: callers saw a copy-order run twice, and an order with a 410 counted as over, where the endpoint's answer was spoilt after its first line.

Cause: call.run took the outcome from the status and the header alone, and dropped the error of reading the body. The log's lines "attempt failed" of such attempts have the refusal's outcome and no error, in all three forms of the case, which rules out the policy and net/http's own retries.

Change: the body is read before the outcome stands. If it cannot be read to its end, or is longer than the 64 KiB that the protocol allows a body, the outcome is that of a call without an answer. A 200 to one message stays true, and a Retry-After is still obeyed. The same in health checks. This works on each path, since batches, single messages and all statuses now share one place that reads the body.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -119,15 +119,30 @@
 		return repeatOutcome(o)
 	}
 	defer resp.Body.Close()
-	o.status = resp.StatusCode
 	classifyResponse(resp, &o, loadFields)
-	if len(records) > 1 && o.status == http.StatusOK {
-		return c.readBatchResponse(ctx, resp, o, records, trace.conn.Load())
+	body, err := readResponseBody(resp.Body)
+	isDelivered := trace.isSingle && o.kind == policy.Delivered // its status line is enough
+	switch {
+	case err != nil && !isDelivered:
+		c.setUnreadable(ctx, &o, err, trace.conn.Load())
+	case !trace.isSingle && o.status == http.StatusOK:
+		return batchOutcomes(o, body, records)
 	}
-	io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)) // a connection can be reused only if the response was read to its end
 	return repeatOutcome(o)
 }
 
+// setUnreadable sets the outcome of a call whose response has a header and no readable
+// body. Such a response proves nothing about the message, whatever its status: it may
+// have run. A Retry-After in the header still holds.
+func (c *call) setUnreadable(ctx context.Context, o *outcome, err error, conn *endpointConn) {
+	o.kind = policy.Errored
+	if !errors.Is(err, errResponseTooLong) {
+		o.kind = c.classifyUnanswered(ctx, conn)
+	}
+	o.isFinal, o.callsExhausted = false, false
+	o.err = fmt.Errorf("response with status %d: %w", o.status, err)
+}
+
 // classifyError returns the outcome of a call without a complete response. The
 // outcome says that the call never ran only where that is certain: the call was
 // stopped before its first byte, had no connection, or its connection broke before
@@ -141,6 +156,12 @@
 	case stage == callSending && c.isBroken.Load() && ctx.Err() == nil:
 		return policy.ConnectFailed
 	}
+	return c.classifyUnanswered(ctx, conn)
+}
+
+// classifyUnanswered returns the outcome of a call that may have run and has no complete
+// response.
+func (c *call) classifyUnanswered(ctx context.Context, conn *endpointConn) policy.Outcome {
 	switch {
 	case isCancelled(ctx):
 		return policy.Cancelled
--- a/internal/relay/call_response.go
+++ b/internal/relay/call_response.go
@@ -1,8 +1,8 @@
 package relay
 
 import (
-	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,10 +16,13 @@
 )
 
 const (
-	maxResponseBytes = 1 << 20          // maximum number of bytes read of a response's body
+	maxResponseBytes = 64 << 10         // maximum size of a response's body; the protocol's limit for all bodies
 	maxRetryAfter    = 10 * time.Minute // a longer Retry-After is reduced to this
 )
 
+// errResponseTooLong reports a response whose body exceeds maxResponseBytes.
+var errResponseTooLong = errors.New("body is too long")
+
 // States of a message in the response to a batch.
 const (
 	batchAccepted = "accepted"
@@ -31,6 +34,7 @@
 // classifyResponse sets the outcome of a call from the status and the headers of
 // its response.
 func classifyResponse(resp *http.Response, o *outcome, loadFields []string) {
+	o.status = resp.StatusCode
 	o.load = parseLoadReport(resp.Header.Get("X-Server-Load"), loadFields)
 	o.retryAfter = parseRetryAfter(resp.Header.Get("Retry-After"))
 	switch resp.StatusCode {
@@ -52,19 +56,26 @@
 	}
 }
 
-// readBatchResponse reads the body of a batch's response and returns the outcome of
-// each message. common holds the fields that are the same for all. A message that the
+// readResponseBody reads the body of a response to its end, after which the connection
+// can be reused. It returns errResponseTooLong, or the error of the connection or of
+// its encoding, if the body is not complete.
+func readResponseBody(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
+	if err == nil && len(text) > maxResponseBytes {
+		err = errResponseTooLong
+	}
+	return text, err
+}
+
+// batchOutcomes returns the outcome of each message from the body of a batch's response
+// with status 200. common holds the fields that are the same for all. A message that the
 // body does not name may have run, so its outcome is Errored.
-func (c *call) readBatchResponse(ctx context.Context, resp *http.Response, common outcome, records []*wal.Record, conn *endpointConn) []outcome {
+func batchOutcomes(common outcome, body []byte, records []*wal.Record) []outcome {
 	common.kind, common.isFinal = policy.Errored, false
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	states, err := parseBatchStates(body)
 	if err != nil {
-		common.kind = c.classifyError(ctx, conn)
-		return failBatch(common, err, len(records))
-	}
-	states, err := parseBatchStates(text)
-	if err != nil {
-		return failBatch(common, err, len(records))
+		common.err = fmt.Errorf("batch response: %w", err)
+		return slices.Repeat([]outcome{common}, len(records))
 	}
 	outcomes := slices.Repeat([]outcome{common}, len(records))
 	for i, rec := range records {
@@ -83,11 +94,6 @@
 	return outcomes
 }
 
-func failBatch(common outcome, err error, count int) []outcome {
-	common.err = fmt.Errorf("batch response: %w", err)
-	return slices.Repeat([]outcome{common}, count)
-}
-
 // parseBatchStates parses the body of a batch's response and returns the states by
 // message id.
 func parseBatchStates(text []byte) (map[string]string, error) {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -142,6 +142,9 @@
 	w.ResponseWriter.WriteHeader(code)
 }
 
+// Unwrap lets http.ResponseController reach the connection.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // answeredOK reports whether a call with a single message, the one with this ID, was
 // answered with status 200.
 func (e *fakeEndpoint) answeredOK(id string) bool {
--- a/internal/relay/health_check.go
+++ b/internal/relay/health_check.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -43,6 +42,8 @@
 	default:
 		o.kind = policy.Errored
 	}
-	io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
+	if _, err := readResponseBody(resp.Body); err != nil {
+		o.kind, o.err = policy.Errored, err
+	}
 	return o
 }
