--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -5,12 +5,11 @@
 	"fmt"
 	"time"
 
-	"plovershore/internal/wal"
 	"plovershore/policy"
 )
 
-// policyHandoff is the body of the record that hands the log to the next process. That
-// process may run another version of the program, so the JSON names must not change.
+// policyHandoff is the state of the policy that a process hands to the next one with the log.
+// The next process may run another version of the program, so the JSON names must not change.
 type policyHandoff struct {
 	PolicyTime  policy.Time                `json:"Now"`  // time of the export by the policy's clock
 	LogTime     int64                      `json:"Wall"` // the same time by the log's clock
@@ -28,6 +27,35 @@
 	return h
 }
 
+// restrictions returns the part of the handoff that keeps calls away from destinations.
+func (h policyHandoff) restrictions() policyHandoff {
+	h.Snapshot = h.Snapshot.Restrictions(h.PolicyTime)
+	ids := map[policy.Endpoint]string{}
+	for _, route := range h.Snapshot.Routes {
+		for _, ep := range route.Endpoints {
+			ids[ep.Endpoint] = h.EndpointIDs[ep.Endpoint]
+		}
+	}
+	h.EndpointIDs = ids
+	return h
+}
+
+// encodePolicyHandoffs returns the policy's state as JSON in forms of decreasing size, since
+// the log may have no space for all of it. The last form holds nothing.
+func (r *Relay) encodePolicyHandoffs() [][]byte {
+	complete := r.exportPolicy()
+	var forms [][]byte
+	for _, h := range []policyHandoff{complete, complete.restrictions()} {
+		text, err := json.Marshal(h)
+		if err != nil {
+			r.log.Error("policy snapshot not handed off", "err", err)
+			continue
+		}
+		forms = append(forms, text)
+	}
+	return append(forms, []byte("{}"))
+}
+
 // importPolicy restores the snapshot of the previous process into the policy.
 func (r *Relay) importPolicy(data []byte) {
 	var h policyHandoff
@@ -54,11 +82,7 @@
 // end. The next process is responsible for all others and recovers them from the log.
 func (r *Relay) transferOwnership() {
 	r.log.Info("handing off to the next process", "pending", r.messages.pending, "calls", r.callsInFlight)
-	snapshot, err := json.Marshal(r.exportPolicy())
-	if err != nil {
-		r.log.Error("policy snapshot not handed off", "err", err)
-		snapshot = []byte("{}")
-	}
+	snapshots := r.encodePolicyHandoffs()
 	r.ownership.isTransferred, r.recovery.isRunning = true, false
 	r.metrics.logUnread.Store(0)
 	r.transferMessages()
@@ -69,7 +93,7 @@
 	}
 	r.splitLimits()
 	lock := r.ownership.lock
-	r.wal.Submit(&wal.Record{Kind: wal.KindHandoff, ID: wal.NoMessage, Body: snapshot}, func(err error) {
+	r.wal.HandOff(snapshots, func(err error) {
 		if err == nil {
 			err = lock.Unlock()
 		}
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -75,8 +75,8 @@
 func startUpgradeTest(t *testing.T) *upgradeTest { return startUpgradeTestWithEnv(t, nil) }
 
 // startUpgradeTestWithEnv is like startUpgradeTest, with more environment variables for all
-// processes.
-func startUpgradeTestWithEnv(t *testing.T, extraEnv map[string]string) *upgradeTest {
+// processes and more members on the list.
+func startUpgradeTestWithEnv(t *testing.T, extraEnv map[string]string, extraMembers ...discovery.Member) *upgradeTest {
 	u := &upgradeTest{t: t, release: make(chan struct{}), quick: newFakeEndpoint(t, nil), listedLater: newFakeEndpoint(t, nil)}
 	u.slow = newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, _ int) {
 		u.slowCalls.Add(1)
@@ -93,7 +93,8 @@
 		w.Header().Set("Retry-After", "3600")
 		w.WriteHeader(http.StatusTooManyRequests)
 	})
-	u.disc = discoverytest.New(t, u.quick.member("s-1", 1), u.slow.member("s-2", 2), u.rejecting.member("s-3", 3), u.slow.member("s-6", 6))
+	members := []discovery.Member{u.quick.member("s-1", 1), u.slow.member("s-2", 2), u.rejecting.member("s-3", 3), u.slow.member("s-6", 6)}
+	u.disc = discoverytest.New(t, append(members, extraMembers...)...)
 	u.env = writeTestConfig(t, u.disc, 3)
 	u.env["ROUTER_OPERATOR"] = loopback.Free()
 	maps.Copy(u.env, extraEnv)
@@ -210,6 +211,29 @@
 	}
 }
 
+// Guards against an upgrade that never ends: what the policy knows of a long list does not fit
+// into one record of the log. The new process must become ready, a Retry-After must hold in
+// it, and no call in flight may be cut.
+func TestUpgradeWithLongListIsReadyAndKeepsRetryAfter(t *testing.T) {
+	const members, firstCell = 3200, 1000 // the largest list of the operators' terms
+	idle := newFakeEndpoint(t, nil)
+	var list []discovery.Member
+	for i := range members {
+		list = append(list, idle.member(fmt.Sprintf("s-%08x", i), firstCell+i))
+	}
+	u := startUpgradeTestWithEnv(t, nil, list...)
+	u.startNew()
+	u.put(u.oldClient, "waits2", putFields("once", 20000, 3))
+	u.put(u.oldClient, "mark", putFields("once", 20000, 1))
+	u.waitDelivered(u.quick, "mark")
+	close(u.release)
+	waitFor(t, "the end of the old process's calls", func() bool { return u.old.metric(t, "app_pending") == 0 })
+	if n := u.rejecting.callCount("waits") + u.rejecting.callCount("waits2"); n != 1 {
+		t.Errorf("%d calls to a destination whose Retry-After is running, want 1", n)
+	}
+	u.checkSentOnce("out", "keyed", "mark")
+}
+
 // A Retry-After that the old process receives after the handover must hold in the new process,
 // too.
 func TestUpgradeHandsOverLateRetryAfter(t *testing.T) {
--- a/internal/wal/capacity.go
+++ b/internal/wal/capacity.go
@@ -63,6 +63,12 @@
 	return needed > s.limit-s.usage.quarantined-roundingReserve-completionReserve
 }
 
+// hasHandoffSpace reports whether the records of a handoff leave space for the next
+// process's checkpoint and for the smallest handoff log.
+func (s *store) hasHandoffSpace(recordBytes int64) bool {
+	return s.usage.bytes+recordBytes+s.checkpointBytes+minHandoffBytes <= s.limit-roundingReserve
+}
+
 // needsCheckpoint reports whether a record fits only after a checkpoint.
 func (s *store) needsCheckpoint(r *Record, batchBytes, checkpointBytes int64) bool {
 	return !s.exceedsLimit(r, checkpointBytes) && !s.hasSpace(r, batchBytes, checkpointBytes)
--- a/internal/wal/encode.go
+++ b/internal/wal/encode.go
@@ -16,7 +16,7 @@
 	recordHeadSize     = 28
 	maxRecordHeadBytes = recordHeadSize + maxIDBytes
 	maxIDBytes         = 256
-	maxRecordBytes     = 160 << 10 // maximum size of id and payload together; the records that the relay writes are shorter
+	maxRecordBytes     = 160 << 10 // maximum size of id and payload together; longer contents are divided, see encodeSnapshot
 )
 
 // Byte offsets of the fields in the head of a record.
--- a/internal/wal/handoff_test.go
+++ b/internal/wal/handoff_test.go
@@ -48,7 +48,7 @@
 	original := t.TempDir()
 	l, _ := openTestLog(t, original, 1<<20)
 	mustAppend(t, l, newAcceptedRecord("a", "A"), newAcceptedRecord("b", "B"), &Record{Kind: KindAttempt, ID: "b", At: 5, Endpoint: "s-1", Process: l.Process})
-	if err := l.store.startHandoff(&Record{Kind: KindHandoff, ID: NoMessage, Body: []byte("policy")}); err != nil {
+	if err := l.store.startHandoff([][]byte{[]byte("policy")}); err != nil {
 		t.Fatal(err)
 	}
 	mustAppend(t, l, newAcceptedRecord("c", "C"), &Record{Kind: KindOutcome, ID: "b"})
@@ -93,7 +93,7 @@
 	dir := t.TempDir()
 	old, _ := openTestLog(t, dir, 1<<20)
 	mustAppend(t, old, newAcceptedRecord("a", "A"), &Record{Kind: KindAttempt, ID: "a", At: 5, Endpoint: "s-1", Process: old.Process})
-	if err := old.store.startHandoff(&Record{Kind: KindHandoff, ID: NoMessage}); err != nil {
+	if err := old.store.startHandoff([][]byte{[]byte("{}")}); err != nil {
 		t.Fatal(err)
 	}
 	mustAppend(t, old, &Record{Kind: KindOutcome, ID: "a"}, newAcceptedRecord("b", "B"))
@@ -123,7 +123,7 @@
 				break
 			}
 		}
-		if err := old.store.startHandoff(&Record{Kind: KindHandoff, ID: NoMessage, Body: []byte(strings.Repeat("m", 8<<10))}); err != nil {
+		if err := old.store.startHandoff([][]byte{[]byte(strings.Repeat("m", 8<<10))}); err != nil {
 			t.Fatal(err)
 		}
 		next, _ := openTestLog(t, dir, limit)
@@ -148,7 +148,7 @@
 	dir := t.TempDir()
 	l, _ := openTestLog(t, dir, 1<<20)
 	mustAppend(t, l, newAcceptedRecord("a", "A"), newAcceptedRecord("b", "B"))
-	if err := l.store.startHandoff(&Record{Kind: KindHandoff, ID: NoMessage}); err != nil {
+	if err := l.store.startHandoff([][]byte{[]byte("{}")}); err != nil {
 		t.Fatal(err)
 	}
 	mustAppend(t, l, newAcceptedRecord("c", "C"), newAcceptedRecord("d", "D"))
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -17,7 +17,7 @@
 // submitted, except for the done functions of records that are kept and retried (see
 // Submit). They must not block. All other methods may be called from any goroutine.
 //
-// After a KindHandoff record, the log belongs to the next process.
+// After HandOff, the log belongs to the next process.
 type Log struct {
 	// Handoff is the handoff log of the previous process, or nil if that process has exited.
 	Handoff *HandoffLog
@@ -45,12 +45,13 @@
 	deferredCount atomic.Int64
 }
 
-// request is either a record to write with a function to call with the result, or a
-// function to run on the log's goroutine.
+// request is either a record to write or a handoff, with a function to call with the result, or
+// a function to run on the log's goroutine.
 type request struct {
-	record *Record
-	done   func(error) // may be nil
-	run    func()
+	record    *Record
+	snapshots [][]byte    // of a handoff
+	done      func(error) // may be nil
+	run       func()
 }
 
 // messageWindowBytes is how much Read reads at a time. It is small since the messages that
@@ -226,6 +227,15 @@
 // behind it, and all other records fail.
 func (l *Log) Submit(r *Record, done func(error)) { l.requests.Put(request{record: r, done: done}) }
 
+// HandOff hands the log off to the next process after everything submitted before is
+// written. Records that are submitted later go into the handoff log. Of the policy snapshots,
+// which are JSON, the most complete one first, it stores the first that there is space for, or
+// else the last. done is called with the result on the log's goroutine; after an error the
+// log still belongs to this process.
+func (l *Log) HandOff(snapshots [][]byte, done func(error)) {
+	l.requests.Put(request{snapshots: snapshots, done: done})
+}
+
 // Do runs f on the log's goroutine after everything that was submitted before has been
 // written, refused or kept for a retry. It returns at once.
 func (l *Log) Do(f func()) { l.requests.Put(request{run: f}) }
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -14,7 +14,7 @@
 	KindCompleting Kind = "ending"  // the final notice of the message is about to be sent
 	KindCompleted  Kind = "end"     // the message is completed
 	KindOwner      Kind = "mark"    // the process that writes from here on, and how much of the handoff log the log includes
-	KindHandoff    Kind = "pass"    // last record of a process that handed the log off: the state of its policy
+	KindHandoff    Kind = "pass"    // last records of a process that handed the log off: the state of its policy
 
 	kindMessageState  Kind = "held"  // in a checkpoint: a message and its state
 	kindBatchStart    Kind = "batch" // first record of a batch that is synced as a unit
--- a/internal/wal/run.go
+++ b/internal/wal/run.go
@@ -84,7 +84,7 @@
 }
 
 // isWrite reports whether a request can be written in a batch with others.
-func (r *request) isWrite() bool { return r.record != nil && r.record.Kind != KindHandoff }
+func (r *request) isWrite() bool { return r.record != nil }
 
 // processSingle runs a function, or hands the log off.
 func (l *Log) processSingle(r request) {
@@ -94,7 +94,7 @@
 	}
 	var err error
 	if l.writeDeferred() {
-		err = l.store.startHandoff(r.record)
+		err = l.store.startHandoff(r.snapshots)
 	} else {
 		err = l.deferredErr
 	}
--- a/internal/wal/state.go
+++ b/internal/wal/state.go
@@ -26,7 +26,8 @@
 	clockAnchor     clockAnchor
 	handoffOffset   int64  // up to this byte the log includes the handoff log
 	policySnapshot  []byte // policy state of the process that handed the log off
-	checkpointBytes int64  // maximum size of a checkpoint of this state
+	snapshotParts   snapshotParts
+	checkpointBytes int64 // maximum size of a checkpoint of this state
 	recovery        RecoveryReport
 }
 
@@ -77,10 +78,11 @@
 	switch r.Kind {
 	case KindOwner:
 		s.process = max(s.process, r.Process)
-		s.policySnapshot = nil
+		s.policySnapshot, s.snapshotParts = nil, snapshotParts{}
 		s.resolveInFlight(func(process int) bool { return process != r.Process && process != r.livingProcess }, seq)
 	case KindHandoff: // a new handoff log begins
-		s.policySnapshot, s.handoffOffset = r.Body, 0
+		s.handoffOffset = 0
+		s.applySnapshot(r.Body)
 	case kindBatchStart:
 		s.syncedSeq = max(s.syncedSeq, uint64(r.At))
 	case kindSegmentSeal:
@@ -91,6 +93,16 @@
 	}
 }
 
+// applySnapshot takes the body of a KindHandoff record. A snapshot that cannot be decompressed
+// counts as none.
+func (s *state) applySnapshot(body []byte) {
+	snapshot, err := s.snapshotParts.add(body)
+	if err != nil {
+		snapshot = nil
+	}
+	s.policySnapshot = snapshot
+}
+
 func (s *state) applyToMessage(k indexKey, id []byte, seq uint64, r *Record, place recordPlace) {
 	i, known := s.index.find(k)
 	if known && r.Kind != kindMessageState && s.index.entryAt(i).includes(seq) {
