Bound the memory of commands that clients have not completed

Cause: connections are bounded by the descriptors and each command by its size, but their product (87 MB) by nothing; readCommand keeps what it has read.

Change: the commands of all clients share an eighth of the memory, apart from 2 KiB each. Where it is used up, the oldest incomplete commands give theirs up, and what gets none is read, dropped and answered with BUSY: a close could lose a message whose last byte is on the way. New figure: app_refused_memory. This works for any number of connections, since what is kept for them is reserved first.

--- a/cmd/relay/main.go
+++ b/cmd/relay/main.go
@@ -14,7 +14,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"plovershore/internal/relay"
@@ -56,7 +55,7 @@
 		os.Exit(exitConfig)
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 7) // 70% of the memory; the rest is left for files and stacks
+	cfg.Limits.ApplyToCollector()
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if err := relay.Run(cfg, log, ctx.Done(), relay.WatchDiscoveryAddress(hup, os.Getenv, log)); err != nil {
--- a/internal/relay/client_connection.go
+++ b/internal/relay/client_connection.go
@@ -16,6 +16,7 @@
 	net.Conn
 	pendingRequests    int       // number of requests whose first byte was read and that are not answered
 	hasReceivedRequest bool      // the first byte of a request was read
+	readDeadline       time.Time // deadline of the reader, apart from interruptions of it
 	commandDeadline    time.Time // when the next valid command must be complete; zero for no limit
 	idleSince          time.Time // time of the connect or of the last response
 	isReleased         bool      // it is closed once all requests that have begun are answered
@@ -33,11 +34,19 @@
 // limitReadUntil sets the reader's deadline, unless the reader was already stopped.
 // The caller holds the mutex.
 func (cc *clientConn) limitReadUntil(deadline time.Time) {
+	cc.readDeadline = deadline
 	if !cc.isStopped {
 		cc.SetReadDeadline(deadline)
 	}
 }
 
+// resumeReading sets the reader's deadline again after its read was interrupted.
+func (c *clientServer) resumeReading(cc *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc.limitReadUntil(cc.readDeadline)
+}
+
 // beginRequest records that the first byte of a request was read.
 func (c *clientServer) beginRequest(cc *clientConn) {
 	c.mu.Lock()
--- a/internal/relay/client_server.go
+++ b/internal/relay/client_server.go
@@ -46,7 +46,10 @@
 	// clientTimeout is the age of a request after which its client submits the
 	// message to another relay, so that it must not be accepted here any more.
 	clientTimeout time.Duration
-	accept4       func(fd, flags int) (int, syscall.Sockaddr, error) // the system call; tests replace it
+	commandMemory *commandMemory
+	// onCommandDropped is called for each command that was dropped for want of memory.
+	onCommandDropped func()
+	accept4          func(fd, flags int) (int, syscall.Sockaddr, error) // the system call; tests replace it
 
 	mu             sync.Mutex
 	maxConns       int                  // limit on open connections; see connection_limit.go
@@ -64,18 +67,20 @@
 func newClientServer(cfg *Config, log *slog.Logger, submit func(*putRequest), onResponded func(*putRequest, bool)) *clientServer {
 	maxConns, _ := cfg.socketBudget()
 	return &clientServer{
-		cfg:            cfg,
-		log:            log,
-		submit:         submit,
-		onResponded:    onResponded,
-		commandTimeout: commandTimeout,
-		clientTimeout:  clientTimeout,
-		accept4:        syscall.Accept4,
-		maxConns:       maxConns,
-		conns:          map[*clientConn]bool{},
-		evicted:        map[*clientConn]bool{},
-		closed:         make(chan struct{}),
-		slotFreed:      make(chan struct{}, 1),
+		cfg:              cfg,
+		log:              log,
+		submit:           submit,
+		onResponded:      onResponded,
+		commandTimeout:   commandTimeout,
+		clientTimeout:    clientTimeout,
+		accept4:          syscall.Accept4,
+		commandMemory:    newCommandMemory(cfg.commandMemoryLimit()),
+		onCommandDropped: func() {},
+		maxConns:         maxConns,
+		conns:            map[*clientConn]bool{},
+		evicted:          map[*clientConn]bool{},
+		closed:           make(chan struct{}),
+		slotFreed:        make(chan struct{}, 1),
 	}
 }
 
--- a/internal/relay/client_session.go
+++ b/internal/relay/client_session.go
@@ -21,6 +21,7 @@
 	args       [][]byte
 	err        error
 	receivedAt time.Time
+	memory     *commandReservation // released once the command is answered or dropped
 }
 
 // clientSession answers the commands of one connection in order. A separate goroutine,
@@ -45,7 +46,12 @@
 	defer s.stopReader()
 	for {
 		cmd, ok := s.nextCommand()
-		if !ok || !s.execute(cmd) {
+		if !ok {
+			return
+		}
+		isOpen := s.execute(cmd)
+		cmd.memory.release()
+		if !isOpen {
 			return
 		}
 		s.server.finishRequest(s.conn)
@@ -56,7 +62,11 @@
 func (s *clientSession) stopReader() {
 	close(s.done)
 	s.server.stopReading(s.conn)
-	for range s.commands {
+	for cmd := range s.commands {
+		cmd.memory.release()
+	}
+	if s.pipelined != nil {
+		s.pipelined.memory.release()
 	}
 }
 
@@ -67,23 +77,38 @@
 	reader := bufio.NewReader(s.conn)
 	for s.awaitRequest(reader) {
 		s.server.beginRequest(s.conn)
-		args, err := readCommand(reader)
+		cmd := s.readCommand(reader)
 		s.server.finishCommandRead(s.conn)
-		if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, new(net.Error)) {
-			s.server.recordReadError(s.conn, err)
+		if errors.Is(cmd.err, io.ErrUnexpectedEOF) || errors.As(cmd.err, new(net.Error)) {
+			cmd.memory.release()
+			s.server.recordReadError(s.conn, cmd.err)
 			return // the client left or ran out of time within the command: it gets no response
 		}
 		select {
-		case s.commands <- command{args, err, time.Now()}:
+		case s.commands <- cmd:
 		case <-s.done:
+			cmd.memory.release()
 			return
 		}
-		if err != nil && !errors.Is(err, errArgumentTooLong) {
+		if cmd.err != nil && !cmd.isDropped() {
 			return
 		}
 	}
 }
 
+// readCommand reads a command of which the first byte has arrived.
+func (s *clientSession) readCommand(reader *bufio.Reader) command {
+	memory := s.server.commandMemory.begin(func() { s.conn.SetReadDeadline(pastDeadline) })
+	args, err := readCommand(reader, memory, func() { s.server.resumeReading(s.conn) })
+	memory.finishReading()
+	return command{args, err, time.Now(), memory}
+}
+
+// isDropped reports whether the command was read to its end and not kept.
+func (c *command) isDropped() bool {
+	return errors.Is(c.err, errArgumentTooLong) || errors.Is(c.err, errNoCommandMemory)
+}
+
 // awaitRequest waits for the first byte of a request. It reports false if the
 // connection ends, or its deadline passes without unread bytes.
 func (s *clientSession) awaitRequest(reader *bufio.Reader) bool {
@@ -113,6 +138,9 @@
 // execute answers one command. It reports false if the connection must be closed.
 func (s *clientSession) execute(cmd command) bool {
 	switch {
+	case errors.Is(cmd.err, errNoCommandMemory):
+		s.server.onCommandDropped()
+		return s.write(busyResponse(0))
 	case errors.Is(cmd.err, errArgumentTooLong):
 		return s.write(errorResponse(cmd.err))
 	case cmd.err != nil: // the position of the next command in the stream is unknown
@@ -136,7 +164,7 @@
 	case s.server.pingFails():
 		return s.write(errorResponse(errDraining))
 	case len(cmd.args) > 1:
-		return s.write(bulkStringResponse(cmd.args[1]))
+		return s.writeBulkString(cmd.args[1])
 	}
 	return s.write(responsePong)
 }
@@ -195,3 +223,15 @@
 	_, err := io.WriteString(s.conn, string(r))
 	return err == nil
 }
+
+// writeBulkString sends a text as a bulk string, without a copy of it: a client that does
+// not read would make the relay keep the copy. It reports whether that succeeded.
+func (s *clientSession) writeBulkString(text []byte) bool {
+	s.conn.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
+	for _, part := range [][]byte{bulkStringHeader(len(text)), text, []byte("\r\n")} {
+		if _, err := s.conn.Write(part); err != nil {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 
@@ -19,6 +20,10 @@
 	"plovershore/policy"
 )
 
+// collectorMemoryPercent is the percentage of the memory limit that the garbage collector
+// keeps to. The rest is for files and for memory that it does not see.
+const collectorMemoryPercent = 70
+
 // Limits are the resources that the relay may use on its machine. In the configuration
 // file, 0 selects the default of a limit.
 type Limits struct {
@@ -28,6 +33,11 @@
 	DiskMB   int     `json:"disk_mb"`   // size of the log in MiB; default 3
 }
 
+// ApplyToCollector makes the garbage collector of this process keep to the memory limit.
+func (l Limits) ApplyToCollector() {
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 / 100 * collectorMemoryPercent)
+}
+
 // ConnectHook is called before each connect to an endpoint. If it returns an error, the
 // connect fails with that error.
 type ConnectHook func(network, address string, conn syscall.RawConn) error
@@ -332,6 +342,12 @@
 	return available - endpoints, endpoints
 }
 
+// commandMemoryLimit returns how many bytes the commands of all clients may take. It has
+// space for at least one command.
+func (c *Config) commandMemoryLimit() int {
+	return max(c.Limits.MemoryMB<<20/memoryLimitPerCommands, 2*maxCommandBytes)
+}
+
 // maxOperatorConns returns how many connections the operator address may have open.
 func (c *Config) maxOperatorConns() int {
 	if c.Operator == "" {
--- a/internal/relay/connection_limit.go
+++ b/internal/relay/connection_limit.go
@@ -83,13 +83,14 @@
 	}
 }
 
-// divideCapacity limits this process to its share of the connections, where the
-// given number of processes of this relay run on the machine.
+// divideCapacity limits this process to its share of the connections and of the memory for
+// commands, where the given number of processes of this relay run on the machine.
 func (c *clientServer) divideCapacity(processes int) {
 	maxConns, _ := c.cfg.socketBudget()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.maxConns = maxConns / processes
+	c.commandMemory.setLimit(c.cfg.commandMemoryLimit() / processes)
 }
 
 // evictionRank orders connections by the cost of evicting them, lowest cost first.
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -44,6 +44,7 @@
 		log.Error("test relay failed", "err", err)
 		os.Exit(2)
 	}
+	cfg.Limits.ApplyToCollector()
 	if path := os.Getenv(diskFaultEnv); path != "" {
 		cfg.FS = newFaultyDisk(path)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -27,6 +27,7 @@
 	clockSteps    atomic.Int64 // steps of the wall clock
 	localFailures atomic.Int64 // attempts that this machine could not make
 	loaded        atomic.Int64 // spilled messages that were read back
+	dropped       atomic.Int64 // commands of clients that were dropped for want of memory
 
 	// Gauges.
 	pending     atomic.Int64
@@ -185,5 +186,6 @@
 	w.gauge("app_log_damaged", "Damaged stretches found in the log at the start.", &m.logDamaged)
 	w.gauge("app_log_lost", "Messages that damage to the log took; each was given up.", &m.logLost)
 	w.gauge("app_log_concerned", "Messages held to have been sent, since damage may have concerned them.", &m.logAffected)
+	w.counter("app_refused_memory", "Requests that were not taken on: no memory to read them.", &m.dropped)
 	return w.Bytes()
 }
--- a/internal/relay/metrics_test.go
+++ b/internal/relay/metrics_test.go
@@ -38,6 +38,7 @@
 	m.logDamaged.Store(next())
 	m.logLost.Store(next())
 	m.logAffected.Store(next())
+	m.dropped.Store(next())
 	want, err := os.ReadFile("testdata/metrics.txt")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/relay/resp.go
+++ b/internal/relay/resp.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strconv"
 )
 
@@ -18,90 +19,145 @@
 	maxBodyBytes       = 64 << 10 // maximum size of the last argument, a message's body
 	maxSkippedBytes    = 1 << 20  // oversized arguments up to this size are skipped, and the connection stays open
 	maxLengthLineBytes = 32       // maximum size of a line that holds a count or a length
+	maxCommandBytes    = (maxArguments-1)*maxArgumentBytes + maxBodyBytes
 )
 
 // errArgumentTooLong reports a command that was skipped because an argument exceeds
 // its limit. The position in the stream is then the start of the next command.
 var errArgumentTooLong = errors.New("argument too long")
 
-// readCommand reads the arguments of one command. After an error other than
-// errArgumentTooLong the position in the stream is unknown and the connection
-// must be closed. It returns io.EOF only between two commands.
-func readCommand(r *bufio.Reader) ([][]byte, error) {
-	count, err := readLength(r, '*')
+// commandReader reads one command. When the command has to be dropped, it reads the rest
+// without keeping it.
+type commandReader struct {
+	in     *bufio.Reader
+	memory *commandReservation
+	// resume makes reads possible again after memory has interrupted one.
+	resume  func()
+	args    [][]byte
+	dropErr error // why the arguments are dropped; nil while they are kept
+}
+
+// readCommand reads the arguments of one command into memory that it reserves. After
+// an error other than errArgumentTooLong and errNoCommandMemory the position in the
+// stream is unknown and the connection must be closed. It returns io.EOF only between two
+// commands. resume is called after a read was interrupted because the reservation was
+// revoked.
+func readCommand(in *bufio.Reader, memory *commandReservation, resume func()) ([][]byte, error) {
+	r := &commandReader{in: in, memory: memory, resume: resume}
+	count, err := r.readLength('*')
 	if err != nil {
 		return nil, err
 	}
 	if count < 1 || count > maxArguments {
 		return nil, fmt.Errorf("command of %d arguments", count)
 	}
-	args := make([][]byte, 0, count)
-	isTooLong := false
 	for i := range count {
 		limit := maxArgumentBytes
 		if i == count-1 {
 			limit = maxBodyBytes
 		}
-		arg, err := readArgument(r, limit)
-		if err != nil && !errors.Is(err, errArgumentTooLong) {
+		if err := r.readArgument(limit); err != nil {
 			return nil, unexpectedEOF(err)
 		}
-		isTooLong = isTooLong || err != nil
-		args = append(args, arg)
 	}
-	if isTooLong {
-		return nil, errArgumentTooLong
+	if r.dropErr != nil {
+		return nil, r.dropErr
 	}
-	return args, nil
+	return r.args, nil
 }
 
-// readArgument reads one bulk string. One longer than limit bytes is skipped
-// and reported as errArgumentTooLong.
-func readArgument(r *bufio.Reader, limit int) ([]byte, error) {
-	size, err := readLength(r, '$')
+// readArgument reads one bulk string. One longer than limit bytes makes the command be
+// dropped.
+func (r *commandReader) readArgument(limit int) error {
+	size, err := r.readLength('$')
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if size < 0 || size > maxSkippedBytes {
-		return nil, fmt.Errorf("argument of %d bytes", size)
+		return fmt.Errorf("argument of %d bytes", size)
 	}
 	if size > limit {
-		if _, err := io.CopyN(io.Discard, r, int64(size)); err != nil {
-			return nil, err
+		r.drop(errArgumentTooLong)
+	}
+	if r.dropErr == nil {
+		if err := r.memory.reserve(size); err != nil {
+			r.drop(err)
 		}
-		if err := readLineEnd(r); err != nil {
-			return nil, err
+	}
+	if err := r.readText(size); err != nil {
+		return err
+	}
+	return r.readLineEnd()
+}
+
+// readText reads the bytes of an argument, and keeps them unless the command is dropped.
+func (r *commandReader) readText(size int) error {
+	read := 0
+	if r.dropErr == nil {
+		arg := make([]byte, size)
+		n, err := io.ReadFull(r.in, arg)
+		if err == nil {
+			r.args = append(r.args, arg)
+			return nil
 		}
-		return nil, errArgumentTooLong
+		if !r.isInterruption(err) {
+			return err
+		}
+		r.drop(errNoCommandMemory)
+		read = n
 	}
-	arg := make([]byte, size)
-	if _, err := io.ReadFull(r, arg); err != nil {
-		return nil, err
+	_, err := r.in.Discard(size - read)
+	return err
+}
+
+// drop frees what was read of the command, and makes the rest be read without keeping it.
+// The first reason counts.
+func (r *commandReader) drop(reason error) {
+	if r.dropErr != nil {
+		return
 	}
-	if err := readLineEnd(r); err != nil {
-		return nil, err
+	r.dropErr, r.args = reason, nil
+	r.memory.release()
+	if r.memory.wasRevoked() {
+		r.resume()
 	}
-	return arg, nil
 }
 
-// readLineEnd reads the CR LF after a bulk string.
-func readLineEnd(r *bufio.Reader) error {
-	var lineEnd [2]byte
-	if _, err := io.ReadFull(r, lineEnd[:]); err != nil {
-		return err
+// isInterruption reports whether a read has failed because the command's memory was revoked.
+func (r *commandReader) isInterruption(err error) bool {
+	return r.dropErr == nil && errors.Is(err, os.ErrDeadlineExceeded) && r.memory.wasRevoked()
+}
+
+// readByte reads one byte, also if that is interrupted.
+func (r *commandReader) readByte() (byte, error) {
+	b, err := r.in.ReadByte()
+	if r.isInterruption(err) {
+		r.drop(errNoCommandMemory)
+		return r.in.ReadByte()
 	}
-	if lineEnd != [2]byte{'\r', '\n'} {
-		return errors.New("argument without its end")
+	return b, err
+}
+
+// readLineEnd reads the CR LF after a bulk string.
+func (r *commandReader) readLineEnd() error {
+	for _, want := range []byte("\r\n") {
+		b, err := r.readByte()
+		if err != nil {
+			return err
+		}
+		if b != want {
+			return errors.New("argument without its end")
+		}
 	}
 	return nil
 }
 
 // readLength reads a line that consists of the type byte kind and a number, and returns
 // the number.
-func readLength(r *bufio.Reader, kind byte) (int, error) {
+func (r *commandReader) readLength(kind byte) (int, error) {
 	var line [maxLengthLineBytes]byte
 	for n := range line {
-		b, err := r.ReadByte()
+		b, err := r.readByte()
 		if err != nil {
 			if n > 0 {
 				err = unexpectedEOF(err)
--- a/internal/relay/resp_test.go
+++ b/internal/relay/resp_test.go
@@ -72,7 +72,7 @@
 	f.Add([]byte("*2\r\n$-1\r\n$"))
 	cfg := &Config{classes: map[string]int{}, tenants: map[string]int{}}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		args, err := readCommand(bufio.NewReader(strings.NewReader(string(b))))
+		args, err := readCommand(bufio.NewReader(strings.NewReader(string(b))), newCommandMemory(1<<20).begin(func() {}), func() {})
 		if err != nil {
 			return
 		}
--- a/internal/relay/responses.go
+++ b/internal/relay/responses.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 )
@@ -38,7 +39,5 @@
 	return response("-ERR " + text + "\r\n")
 }
 
-// bulkStringResponse is the response to a PING with an argument, which it returns.
-func bulkStringResponse(text []byte) response {
-	return response("$" + strconv.Itoa(len(text)) + "\r\n" + string(text) + "\r\n")
-}
+// bulkStringHeader is the line before a bulk string of some bytes.
+func bulkStringHeader(size int) []byte { return fmt.Appendf(nil, "$%d\r\n", size) }
--- a/internal/relay/start.go
+++ b/internal/relay/start.go
@@ -42,6 +42,7 @@
 	r.stepPolicy() // the policy needs the list before any message
 	r.clients = newClientServer(cfg, log, func(q *putRequest) { r.mailbox.Put(submitEvent{request: q}) },
 		func(q *putRequest, ok bool) { r.mailbox.Put(responseDoneEvent{request: q, isSent: ok}) })
+	r.clients.onCommandDropped = func() { r.metrics.dropped.Add(1) }
 	defer r.clients.close()
 
 	r.metrics.waitingFor.Store("waits for the process that owns the log")
