Send notices again after a rejection that cannot be read

Reason: a 400 to a notice makes the relay drop it as malformed. Where the rest of that answer cannot be read, it proves nothing, and the platform never learns of the message's end. Found by looking for the cause of the unreadable refusals on related paths; not seen in service.

Cause: Notices.post dropped the error of reading the answer, as the calls to endpoints did.

Change: an answer other than 204 is read to its end first; if that fails, the batch is sent again.

Result: TestUnreadableRejectionAcknowledgesNothing failed before (1 acknowledged) and passes, also with -race.

--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -35,7 +35,7 @@
 	noticeBackoffMax = 500 * time.Millisecond
 	noticeTimeoutMax = 2 * time.Second
 
-	maxNoticeAnswerBytes = 64 << 10 // a response is read up to this size
+	maxNoticeAnswerBytes = 64 << 10 // a response is read up to this size, to see whether it is complete
 )
 
 // Notices sends notices to the discovery agent, each until it is acknowledged or
@@ -140,11 +140,13 @@
 		return fmt.Errorf("notices: %w", err)
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(resp.Body, maxNoticeAnswerBytes))
-	if resp.StatusCode != http.StatusNoContent {
-		return &StatusError{Call: "notices", Status: resp.StatusCode}
+	if resp.StatusCode == http.StatusNoContent {
+		return nil
 	}
-	return nil
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxNoticeAnswerBytes)); err != nil {
+		return fmt.Errorf("notices: response with status %d: %w", resp.StatusCode, err) // its status proves nothing
+	}
+	return &StatusError{Call: "notices", Status: resp.StatusCode}
 }
 
 // ReadNotices decodes notices, one JSON object per line. An error names the first
--- a/internal/discovery/surplus_test.go
+++ b/internal/discovery/surplus_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -127,3 +128,34 @@
 		})
 	}
 }
+
+// Guards against lost notices: a rejection that cannot be read was taken for one of malformed notices.
+func TestUnreadableRejectionAcknowledgesNothing(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for first := true; ; first = false {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil && first {
+				io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 64\r\n\r\nno")
+			} else {
+				io.WriteString(conn, acknowledgement)
+			}
+			conn.Close()
+		}
+	}()
+	n := NewNotices(listener.Addr().String(), slog.New(slog.DiscardHandler), func(string) {})
+	batch := []Notice{{Message: "a", Outcome: Failed}}
+	if acknowledged, err := n.send(t.Context(), batch, time.Second); acknowledged != 0 || err == nil || strings.Contains(err.Error(), "discovery: notices: status") {
+		t.Errorf("unreadable rejection: %d acknowledged, error %v", acknowledged, err)
+	}
+	if acknowledged, err := n.send(t.Context(), batch, time.Second); acknowledged != 1 || err != nil {
+		t.Errorf("next attempt: %d acknowledged, error %v", acknowledged, err)
+	}
+}
