Tell responses of the list service apart, and keep no connections for notices

Reason: the fault of the discovery client stood in the program's other HTTP clients: a second copy of an answer counted for the next request. For the list service that is a write, a renewed lease or a batch of notices; a failover's notices go to the platform the same way.

Cause: as there, net/http assigns a kept connection to the next request before the bytes behind the last answer have been looked at.

Change: nodes repeat a request's Request-Id in each response, and the client takes a response to another request for an attempt that failed. It sends watches and notices, which others may answer, on connections of their own, as do rollouts and the lab's proxy of the agent. A kept connection would cost the list service's heartbeats too much to give up. This works for any order, since a copy carries the id of its own request.

--- a/internal/faultlab/agent_proxy.go
+++ b/internal/faultlab/agent_proxy.go
@@ -55,6 +55,10 @@
 	deliveredPhases map[string]string // last phase sent to the relay, by endpoint ID
 }
 
+// singleUseTransport gives each request to an agent a connection of its own, so that a response
+// is never taken for that to another request.
+var singleUseTransport = &http.Transport{DisableKeepAlives: true}
+
 // newAgentProxy starts a proxy on ip; links has the link's address for each endpoint
 // ID.
 func newAgentProxy(relay, ip, agent string, links map[string]string, recorder *history.Recorder, onNotice model.NoticeFunc) (*agentProxy, error) {
@@ -71,7 +75,7 @@
 
 // Known returns the agent's current list, or an empty one if it does not answer.
 func (p *agentProxy) Known() model.List {
-	client := http.Client{Timeout: agentTimeout}
+	client := http.Client{Timeout: agentTimeout, Transport: singleUseTransport}
 	empty := model.List{Complete: true, Members: []model.Member{}}
 	resp, err := client.Get("http://" + p.agent + discovery.ListPath)
 	if err != nil {
@@ -119,7 +123,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := singleUseTransport.RoundTrip(req)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -180,7 +184,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	resp, err := http.Post("http://"+p.agent+discovery.NoticePath, "application/json", bytes.NewReader(text))
+	client := http.Client{Transport: singleUseTransport}
+	resp, err := client.Post("http://"+p.agent+discovery.NoticePath, "application/json", bytes.NewReader(text))
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -26,7 +26,7 @@
 	EpochHeader    = "Registry-Epoch"
 	RevisionHeader = "Registry-Revision"
 	StaleHeader    = "Registry-Stale" // true if this node has lost contact with the leader
-	RequestHeader  = "Request-Id"     // id of a write; a second write with the same id changes nothing
+	RequestHeader  = "Request-Id"     // id of a request, which its response repeats; a second write with the same id changes nothing
 
 	// FenceHeader is set on a write that is made on behalf of a role's holder: the role's
 	// name, an equals sign and the holder's token. The write is rejected with 412 unless
@@ -65,7 +65,18 @@
 	mux.HandleFunc("GET "+StatusPath, n.getStatus)
 	mux.HandleFunc("GET "+SnapshotPath, n.leaderOnly(n.getSnapshot))
 	mux.HandleFunc("PUT "+SnapshotPath, n.leaderOnly(n.putSnapshot))
-	return mux
+	return nameRequest(mux)
+}
+
+// nameRequest wraps a handler so that each response names the request that it answers. A
+// client can then tell it from one to an earlier request on the same connection.
+func nameRequest(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(RequestHeader); id != "" && len(id) <= maxIDBytes {
+			w.Header().Set(RequestHeader, id)
+		}
+		handler.ServeHTTP(w, r)
+	})
 }
 
 // leaderOnly wraps a handler that only the leader may run. Another node redirects to the
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -41,8 +41,11 @@
 	nodes       []string
 	fleet       int
 	log         *slog.Logger
-	httpClient  *http.Client // for requests other than watches
+	httpClient  *http.Client // for requests other than watches and notices
 	watchClient *http.Client // for watches; has no timeout for the whole response
+	// noticeClient sends notices. The platform may take them, whose responses do not
+	// name the request that they answer, so each has a connection of its own.
+	noticeClient *http.Client
 
 	mu      sync.Mutex
 	current int // index of the node that the next request is sent to
@@ -60,23 +63,29 @@
 			return nil, fmt.Errorf("registry: node %q: %w", node, err)
 		}
 	}
-	transport := &http.Transport{
+	keepAlive, singleUse := newTransport(), newTransport()
+	keepAlive.MaxIdleConnsPerHost = idleConnsPerNode
+	singleUse.DisableKeepAlives = true
+	return &Client{
+		nodes:        nodes,
+		fleet:        fleet,
+		log:          log,
+		httpClient:   &http.Client{Transport: keepAlive, Timeout: responseTimeout},
+		watchClient:  &http.Client{Transport: singleUse},
+		noticeClient: &http.Client{Transport: singleUse, Timeout: responseTimeout},
+		current:      rand.IntN(len(nodes)), // random, so that the clients of a fleet spread over the nodes
+		rand:         rand.Float64,
+	}, nil
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:           (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		MaxIdleConnsPerHost:   idleConnsPerNode,
 		ResponseHeaderTimeout: responseTimeout,
 		DisableCompression:    true,
 		WriteBufferSize:       bufferBytes,
 		ReadBufferSize:        bufferBytes,
 	}
-	return &Client{
-		nodes:       nodes,
-		fleet:       fleet,
-		log:         log,
-		httpClient:  &http.Client{Transport: transport, Timeout: responseTimeout},
-		watchClient: &http.Client{Transport: transport},
-		current:     rand.IntN(len(nodes)), // random, so that the clients of a fleet spread over the nodes
-		rand:        rand.Float64,
-	}, nil
 }
 
 // Close closes idle connections.
--- a/internal/registry/client/request.go
+++ b/internal/registry/client/request.go
@@ -9,9 +9,14 @@
 	"io"
 	"net/http"
 
+	"plovershore/internal/discovery"
 	"plovershore/internal/registry"
 )
 
+// errOtherResponse reports a response to an earlier request that was received on the same
+// connection, such as a second copy of one.
+var errOtherResponse = errors.New("response to another request")
+
 // RejectedError is a response with a status from 300 to 499. The request isn't sent again,
 // since the response would be the same.
 type RejectedError struct {
@@ -91,11 +96,15 @@
 		req.Header[name] = values
 	}
 	req.Header.Set(registry.RequestHeader, r.id)
-	resp, err := c.httpClient.Do(req)
+	resp, err := c.clientFor(r).Do(req)
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Body.Close()
+	if answered := resp.Header.Get(registry.RequestHeader); answered != "" && answered != r.id {
+		c.httpClient.CloseIdleConnections() // the connection with the surplus response may be among them
+		return nil, fmt.Errorf("%w: to %s, not to %s", errOtherResponse, answered, r.id)
+	}
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return nil, err
@@ -112,6 +121,14 @@
 	return resp.Header, nil
 }
 
+// clientFor returns the HTTP client that sends a request.
+func (c *Client) clientFor(r *request) *http.Client {
+	if r.path == discovery.NoticePath {
+		return c.noticeClient
+	}
+	return c.httpClient
+}
+
 func newRejectedError(resp *http.Response, text []byte) *RejectedError {
 	var body struct {
 		Error   string `json:"error"`
--- a/internal/rollout/relay_client.go
+++ b/internal/rollout/relay_client.go
@@ -36,6 +36,12 @@
 // relayClient sends requests to runners and relays.
 type relayClient struct{ http *http.Client }
 
+// newRelayClient returns a client whose requests have a connection each, so that no surplus
+// of an earlier response can be taken for the response to a restart.
+func newRelayClient() *relayClient {
+	return &relayClient{http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
 // restart requests a step from the relay's runner. It returns leader.ErrLeaseLost if the
 // runner has seen a newer fencing token.
 func (c *relayClient) restart(ctx context.Context, relay Relay, step Step) error {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -31,7 +30,7 @@
 
 // Work returns the work of the role: it carries out one plan at a time.
 func Work(c *client.Client) leader.Work {
-	relays := &relayClient{http: &http.Client{Timeout: requestTimeout}}
+	relays := newRelayClient()
 	return func(ctx context.Context, g *leader.Grant) error {
 		return operations.Run(ctx, c, Role, pollInterval, func(ctx context.Context, pending []registry.Operation) error {
 			for _, op := range pending {
