--- a/internal/relay/call_response.go
+++ b/internal/relay/call_response.go
@@ -18,6 +18,9 @@
 const (
 	maxResponseBytes = 64 << 10         // maximum size of a response's body; the protocol's limit for all bodies
 	maxRetryAfter    = 10 * time.Minute // a longer Retry-After is reduced to this
+	// maxLoadValue bounds the values of a load report: fractions and calls a second. What
+	// the policy computes from them has to stay finite, as JSON has no other numbers.
+	maxLoadValue = 1e9
 )
 
 // errResponseTooLong reports a response whose body exceeds maxResponseBytes.
@@ -121,8 +124,9 @@
 	return policy.Time(min(seconds, maxRetryAfter.Seconds()) * 1e6)
 }
 
-// parseLoadReport parses a load report such as x0=0.4,x1=25. The result is empty if
-// fields, the field names in the settings, is empty.
+// parseLoadReport parses a load report such as x0=0.4,x1=25. It ignores values that are no
+// numbers from 0 to maxLoadValue. The result is empty if fields, the field names in the
+// settings, is empty.
 func parseLoadReport(s string, fields []string) (load policy.LoadReport) {
 	if len(fields) == 0 {
 		return load
@@ -130,7 +134,7 @@
 	for field := range strings.SplitSeq(s, ",") {
 		name, text, _ := strings.Cut(strings.TrimSpace(field), "=")
 		value, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(value >= 0) { // the second condition is also true for NaN
+		if err != nil || !(value >= 0 && value <= maxLoadValue) { // the second condition is also true for NaN
 			continue
 		}
 		switch name {
--- a/internal/relay/call_response_test.go
+++ b/internal/relay/call_response_test.go
@@ -74,7 +74,7 @@
 
 func TestParseLoadReportIgnoresInvalidFields(t *testing.T) {
 	fields := []string{"x0", "x1"}
-	for s, want := range map[string]policy.LoadReport{"x0=0.4,x1=25": {Remaining: 0.4, Limit: 25, Present: true}, "x1=3": {Limit: 3, Present: true}, "": {}, "x0=?,x1=-2": {}, "x1=NaN": {}} {
+	for s, want := range map[string]policy.LoadReport{"x0=0.4,x1=25": {Remaining: 0.4, Limit: 25, Present: true}, "x1=3": {Limit: 3, Present: true}, "": {}, "x0=?,x1=-2": {}, "x1=NaN": {}, "x1=Inf": {}, "x0=+Inf,x1=1e308": {}, "x1=1e999": {}} {
 		if got := parseLoadReport(s, fields); got != want {
 			t.Errorf("%q: %+v", s, got)
 		}
