Move the relay's limits into a file of their own

Reason: config.go had grown by the memory budget of commands; what a relay may use on its machine is one subject. The test of stalled commands would have failed on a machine that holds it up for 2.5 s, when commands time out.

The test sets the two timeouts that it does not check to a minute.

--- a/internal/relay/command_memory_test.go
+++ b/internal/relay/command_memory_test.go
@@ -112,6 +112,7 @@
 	t.Logf("seed %d", seed)
 	rng := rand.New(rand.NewPCG(seed, 1))
 	c, addr, acknowledged := serveClients(t, accept)
+	c.commandTimeout, c.clientTimeout = time.Minute, time.Minute // a slow machine must not end the commands
 	go func() {
 		for range acknowledged {
 		}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -2,14 +2,12 @@
 
 import (
 	"bytes"
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"os"
-	"runtime/debug"
 	"strconv"
 	"syscall"
 
@@ -20,24 +18,6 @@
 	"plovershore/policy"
 )
 
-// collectorMemoryPercent is the percentage of the memory limit that the garbage collector
-// keeps to. The rest is for files and for memory that it does not see.
-const collectorMemoryPercent = 70
-
-// Limits are the resources that the relay may use on its machine. In the configuration
-// file, 0 selects the default of a limit.
-type Limits struct {
-	Cores    float64 `json:"cores"`     // default 1
-	MemoryMB int     `json:"memory_mb"` // in MiB; default 192
-	Sockets  int     `json:"sockets"`   // file descriptors; default 1024
-	DiskMB   int     `json:"disk_mb"`   // size of the log in MiB; default 3
-}
-
-// ApplyToCollector makes the garbage collector of this process keep to the memory limit.
-func (l Limits) ApplyToCollector() {
-	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 / 100 * collectorMemoryPercent)
-}
-
 // ConnectHook is called before each connect to an endpoint. If it returns an error, the
 // connect fails with that error.
 type ConnectHook func(network, address string, conn syscall.RawConn) error
@@ -236,18 +216,6 @@
 	return 0, fmt.Errorf("config: promise: %q; process and power are allowed", text)
 }
 
-const (
-	residentMessageBytes = 2 << 10 // estimated memory of one message
-	minMaxResident       = 1000
-)
-
-// defaultMaxResident returns how many messages may be in memory if the configuration does
-// not say: as many as fill a quarter of the memory, but at least minMaxResident, so that
-// a busy hour does not reach the limit.
-func defaultMaxResident(memoryMB int) int {
-	return max(memoryMB<<20/4/residentMessageBytes, minMaxResident)
-}
-
 // parseSettings parses the settings object and indexes the names in it.
 func (c *Config) parseSettings(text []byte) error {
 	s, err := wire.ParseSettings(text)
@@ -309,53 +277,6 @@
 	return strconv.ParseUint(string(raw), 10, 64)
 }
 
-// applyDefaults sets the limits that are 0 to their defaults and rejects impossible ones.
-func (l *Limits) applyDefaults() error {
-	switch {
-	case l.Cores < 0:
-		return fmt.Errorf("cores: %v, want 0 or more", l.Cores)
-	case l.MemoryMB < 0:
-		return fmt.Errorf("memory_mb: %d, want 0 or more", l.MemoryMB)
-	case l.Sockets < 0 || l.Sockets > 0 && l.Sockets < minSockets:
-		return fmt.Errorf("sockets: %d, want at least %d", l.Sockets, minSockets)
-	case l.DiskMB < 0:
-		return fmt.Errorf("disk_mb: %d, want 0 or more", l.DiskMB)
-	}
-	l.Cores = cmp.Or(l.Cores, 1)
-	l.MemoryMB = cmp.Or(l.MemoryMB, 192)
-	l.Sockets = cmp.Or(l.Sockets, 1024)
-	l.DiskMB = cmp.Or(l.DiskMB, 3)
-	return nil
-}
-
-const (
-	reservedSockets = 32 // file descriptors for the runtime, the log, the listener and discovery
-	minSockets      = 64 // minimum number of file descriptors of a relay
-)
-
-// socketBudget splits the file descriptors between connections of clients and connections
-// to endpoints. Each call in flight needs one, so the endpoints get enough for the maximum
-// number of calls, but at least a quarter of what is available and at most half.
-func (c *Config) socketBudget() (clients, endpoints int) {
-	available := c.Limits.Sockets - reservedSockets - c.maxOperatorConns()
-	endpoints = min(max(available/4, c.Policy.MaxCalls+8), available/2)
-	return available - endpoints, endpoints
-}
-
-// commandMemoryLimit returns how many bytes the commands of all clients may take. It has
-// space for at least one command.
-func (c *Config) commandMemoryLimit() int {
-	return max(c.Limits.MemoryMB<<20/memoryLimitPerCommands, 2*maxCommandBytes)
-}
-
-// maxOperatorConns returns how many connections the operator address may have open.
-func (c *Config) maxOperatorConns() int {
-	if c.Operator == "" {
-		return 0
-	}
-	return min(maxOperatorConns, c.Limits.Sockets/8)
-}
-
 // isKeyed reports whether messages of a class carry an idempotency key.
 func (c *Config) isKeyed(class int) bool {
 	return c.Policy.Classes[class].Idempotency == policy.IdempotentByKey
