Set the timeouts of the test of stalled commands before its server runs

The test wrote them while the server's goroutine read them.

Change: the test makes its server as other tests with such timeouts do, and sets them before it serves.

--- a/internal/relay/command_memory_test.go
+++ b/internal/relay/command_memory_test.go
@@ -111,13 +111,16 @@
 	seed := uint64(time.Now().UnixNano())
 	t.Logf("seed %d", seed)
 	rng := rand.New(rand.NewPCG(seed, 1))
-	c, addr, acknowledged := serveClients(t, accept)
+	c := newClientServer(parseTestConfig(t), discardLog(), accept, func(*putRequest, bool) {})
 	c.commandTimeout, c.clientTimeout = time.Minute, time.Minute // a slow machine must not end the commands
-	go func() {
-		for range acknowledged {
-		}
-	}()
 	c.commandMemory.setLimit(4 * maxBodyBytes)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go c.serve(ln)
+	addr := ln.Addr().String()
 	body := bytes.Repeat([]byte("b"), maxBodyBytes)
 	type stalledPeer struct {
 		*testClient
