Send a test's list change on a watch that is open, not on that of a killed relay

Cause: the test kills its relay, starts the next and has the stub of the agent send a change. The stub wrote it on the newest watch that it had, which is the killed relay's until the next one has opened its own, and it keeps no history, so the change was lost. Since each request to the agent has a connection of its own, the next watch opens a little later after the list was fetched, and the relay is ready before. A real agent answers a watch with what changed since its revision, so no relay is concerned.

Change: Server.Send waits for a watch that is open. The test fails if nothing is delivered within 20 s, where it waited without end.

--- a/internal/discovery/discoverytest/discoverytest.go
+++ b/internal/discovery/discoverytest/discoverytest.go
@@ -42,13 +42,14 @@
 	RejectCalls int                         // number of watches that are still to be rejected, with status 503
 	Unheard     int                         // number of fetches and watches that were requested while Silent was set
 
-	released chan struct{} // closed when the test ends
+	isEnded  map[chan string]bool // the watches in Lines that have ended, such as those of a killed relay
+	released chan struct{}        // closed when the test ends
 }
 
 // New starts an agent whose complete list has revision 1 and the given members.
 func New(t *testing.T, members ...discovery.Member) *Server {
 	d := &Server{List: discovery.List{Revision: 1, Complete: true, Members: members}, Notices: map[string]discovery.Notice{},
-		Answer: http.StatusNoContent, released: make(chan struct{})}
+		Answer: http.StatusNoContent, isEnded: map[chan string]bool{}, released: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+discovery.ListPath, d.serveList)
 	mux.HandleFunc("POST "+discovery.NoticePath, d.serveNotices)
@@ -78,6 +79,7 @@
 	w.WriteHeader(http.StatusOK)
 	w.(http.Flusher).Flush()
 	d.serveWatch(w, r, lines)
+	d.Set(func(d *Server) { d.isEnded[lines] = true })
 }
 
 // countUnanswered counts a request in Unheard if the agent is silent, and reports
@@ -173,13 +175,19 @@
 	f(d)
 }
 
-// Send waits until there is a watch, and writes a line on the newest one.
+// Send waits until the newest watch is open, and writes a line on it. A line on the watch of a
+// relay that was killed would be lost to the next process, which has not opened its own yet.
 func (d *Server) Send(t *testing.T, line string) {
 	t.Helper()
-	WaitFor(t, "a watch", func() bool { d.Mu.Lock(); defer d.Mu.Unlock(); return len(d.Lines) > 0 })
-	d.Mu.Lock()
-	defer d.Mu.Unlock()
-	d.Lines[len(d.Lines)-1] <- line
+	WaitFor(t, "an open watch", func() bool {
+		d.Mu.Lock()
+		defer d.Mu.Unlock()
+		if len(d.Lines) == 0 || d.isEnded[d.Lines[len(d.Lines)-1]] {
+			return false
+		}
+		d.Lines[len(d.Lines)-1] <- line
+		return true
+	})
 }
 
 // Change returns an update of a watch as JSON: revision rev with a change of one
--- a/internal/relay/backlog_slope_test.go
+++ b/internal/relay/backlog_slope_test.go
@@ -123,6 +123,9 @@
 		if isLate && delivered < n/2 {
 			r.t.Logf("only %d of %d messages were delivered within 20 s", delivered, n)
 		}
+		if isLate && delivered == 0 {
+			r.t.Fatal("no message was delivered within 20 s")
+		}
 		if delivered >= n*9/10 || isLate && delivered > 0 { // 90 % are enough, as the policy may drop some messages
 			after, _ := r.usage()
 			return (after - before) / time.Duration(delivered), time.Since(startedAt) / time.Duration(delivered)
