Check the memory of peers that stop with the race detector too

Reason: TestPeersThatStopStayWithinMemoryLimit was skipped with -race, since the detector multiplies the memory of a relay that runs in the test's own program.

Change: the test starts the program of cmd/relay, built as TestBacklogSlope builds its own; both share the build. The skip is gone, and so is the collector's limit in the relays of all other tests, which only this test needed. The program is unchanged.

--- a/internal/relay/backlog_slope_test.go
+++ b/internal/relay/backlog_slope_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -139,10 +138,7 @@
 //
 //	go test ./internal/relay -run TestBacklogSlope -v -args -slope 1000,10000,100000,300000
 func TestBacklogSlope(t *testing.T) {
-	bin := filepath.Join(t.TempDir(), "relay")
-	if out, err := exec.Command("go", "build", "-o", bin, "plovershore/cmd/relay").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	program := buildRelay(t)
 	t.Logf("%-7s %8s %10s %14s %12s %12s %12s %10s", "", "pending", "RSS MB", "RSS B/message", "µs CPU put", "µs CPU sent", "µs sent", "ready ms")
 	for size := range strings.SplitSeq(*slopeSizes, ",") {
 		n, err := strconv.Atoi(size)
@@ -150,7 +146,7 @@
 			t.Fatal(err)
 		}
 		for _, mode := range []string{"before", "after"} {
-			run := &costRun{t: t, program: bin, disc: newDiscoveryWithOneMember(t), endpoint: newFakeEndpoint(t, nil)}
+			run := &costRun{t: t, program: program, disc: newDiscoveryWithOneMember(t), endpoint: newFakeEndpoint(t, nil)}
 			env := backlogEnv(t, run.disc, 2048, 0)
 			editConfig(t, env, `"memory_mb":192`, `"memory_mb":256`)
 			if mode == "after" {
--- a/internal/relay/command_memory_test.go
+++ b/internal/relay/command_memory_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"testing"
@@ -58,16 +59,16 @@
 // Guards against a relay that is killed for its memory: peers that fill all connections and then
 // stop within a command, or do not read their responses.
 func TestPeersThatStopStayWithinMemoryLimit(t *testing.T) {
-	if raceDetectorEnabled {
-		t.Skip("the race detector multiplies the memory of the process")
-	}
+	program := buildRelay(t) // the race detector would multiply the memory of a relay in the test's own program
 	const memoryMB, peers, playTime = 64, 700, 6 * time.Second
 	for name, request := range map[string][]byte{"within a command": stalledCommand(), "without reading": unreadEchoes()} {
 		t.Run(name, func(t *testing.T) {
 			ep := newFakeEndpoint(t, nil)
 			env := writeTestConfig(t, discoverytest.New(t, ep.member("s-1", 7)), 3)
 			editConfig(t, env, `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, memoryMB))
-			c := startChild(t, env)
+			c := &child{cmd: exec.Command(program), env: env}
+			startProcess(t, c, stderrWriter{t})
+			c.waitReady(t)
 			end := time.Now().Add(playTime)
 			var crowd errgroup.Group
 			defer crowd.Wait()
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -44,7 +44,6 @@
 		log.Error("test relay failed", "err", err)
 		os.Exit(2)
 	}
-	cfg.Limits.ApplyToCollector()
 	if path := os.Getenv(diskFaultEnv); path != "" {
 		cfg.FS = newFaultyDisk(path)
 	}
@@ -293,6 +292,16 @@
 	return c
 }
 
+// buildRelay builds the program of cmd/relay, without the race detector, and returns its path.
+func buildRelay(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "relay")
+	if out, err := exec.Command("go", "build", "-o", program, "plovershore/cmd/relay").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
 // startProcess starts the command of a child, which is killed at the end of the test.
 func startProcess(t *testing.T, c *child, w io.Writer) {
 	t.Helper()
