wallclock: build and work on arm64 as well as on x86-64

The library that steps the wall clock of real processes held the system call, the jump and the vDSO's names of x86-64 alone, so the tests that preload it failed on arm64.

The system call, the jump and the prefix of the vDSO's names now stand once for each of the two kinds of machine, and the instruction cache is cleared after the jump is written (nothing to do on x86-64). What x86-64 compiles is otherwise as before.

Measured on arm64: go test -count=1 ./internal/clock/... passes, and so does go test -count=1 -run ClockStep ./internal/relay. On x86-64 it was not run here.

--- a/internal/clock/wallclock/shim/wallclock.c
+++ b/internal/clock/wallclock/shim/wallclock.c
@@ -22,13 +22,29 @@
 #include <time.h>
 #include <unistd.h>
 
+#if defined(__x86_64__)
+#define VDSO_PREFIX "__vdso_"
+#elif defined(__aarch64__)
+#define VDSO_PREFIX "__kernel_"
+#else
+#error "no system call and no jump for this kind of machine"
+#endif
+
 static const volatile int64_t *shift;
 
 // Calls the kernel directly, since the clock functions of the vDSO lead back to this library.
 static long raw_syscall(long number, long arg1, long arg2) {
+#if defined(__x86_64__)
 	long result;
 	__asm__ volatile("syscall" : "=a"(result) : "a"(number), "D"(arg1), "S"(arg2) : "rcx", "r11", "memory");
 	return result;
+#else
+	register long x8 __asm__("x8") = number;
+	register long x0 __asm__("x0") = arg1;
+	register long x1 __asm__("x1") = arg2;
+	__asm__ volatile("svc #0" : "+r"(x0) : "r"(x8), "r"(x1) : "memory");
+	return x0;
+#endif
 }
 
 static int shifted_clock_gettime(clockid_t id, struct timespec *ts) {
@@ -62,9 +78,15 @@
 
 // Overwrites the machine code at place with a jump to the function at target.
 static void write_jump(uint8_t *place, void *target) {
+#if defined(__x86_64__)
 	uint8_t code[12] = {0x48, 0xb8, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xe0}; // movabs target, %rax; jmp *%rax
 	memcpy(code + 2, &target, sizeof target);
+#else
+	uint8_t code[16] = {0x50, 0, 0, 0x58, 0, 0x02, 0x1f, 0xd6}; // ldr x16, target; br x16; target
+	memcpy(code + 8, &target, sizeof target);
+#endif
 	memcpy(place, code, sizeof code);
+	__builtin___clear_cache((char *)place, (char *)place + sizeof code);
 }
 
 // Finds the clock functions in the vDSO, an ELF image that begins at page, and makes them
@@ -106,9 +128,9 @@
 			continue;
 		const char *name = names + symbols[i].st_name;
 		uint8_t *code = base + symbols[i].st_value;
-		if (!strcmp(name, "__vdso_clock_gettime")) write_jump(code, (void *)shifted_clock_gettime);
-		if (!strcmp(name, "__vdso_gettimeofday")) write_jump(code, (void *)shifted_gettimeofday);
-		if (!strcmp(name, "__vdso_time")) write_jump(code, (void *)shifted_time);
+		if (!strcmp(name, VDSO_PREFIX "clock_gettime")) write_jump(code, (void *)shifted_clock_gettime);
+		if (!strcmp(name, VDSO_PREFIX "gettimeofday")) write_jump(code, (void *)shifted_gettimeofday);
+		if (!strcmp(name, VDSO_PREFIX "time")) write_jump(code, (void *)shifted_time);
 	}
 	mprotect(page, (size + 4095) & ~4095UL, PROT_READ | PROT_EXEC);
 }
