--- a/review/stand-2/agent_move.go
+++ b/review/stand-2/agent_move.go
@@ -193,7 +193,17 @@
 	time.Sleep(oldAgentCloses)
 	first.kill()
 	time.Sleep(toldAfter + toldSlack - oldAgentCloses)
-	return s.checkDestination(machines[0], machines[2])
+	broken, err = s.checkDestination("after", machines[0], machines[2])
+	if err != nil || len(broken) == 0 {
+		return broken, err
+	}
+	// Not judged: whether a further change of the list brings what was missed.
+	if err := s.addMember(node, "s-5", machines[1].addr, 9); err != nil {
+		return broken, err
+	}
+	time.Sleep(oldAgentCloses)
+	_, err = s.checkDestination("later", machines[0], machines[2])
+	return broken, err
 }
 
 // handIn hands in one message for destination 7 and waits until it has run.
@@ -220,10 +230,10 @@
 }
 
 // checkDestination hands in messages for destination 7 and checks where they run.
-func (s *stage) checkDestination(foreign, own *endpoint) (broken []string, err error) {
+func (s *stage) checkDestination(name string, foreign, own *endpoint) (broken []string, err error) {
 	atForeign, atOwn := 0, 0
 	for i := range 8 {
-		id := fmt.Sprintf("after-%d", i+1)
+		id := fmt.Sprintf("%s-%d", name, i+1)
 		if err := s.handIn(id, foreign, own); err != nil {
 			return nil, err
 		}
